Reread the file on SIGHUP, and share the descriptors so that silent clients shut nobody out

On reload the program exited with 129; no handler for HUP was set, so the JVM's own ended it.

Changed: Daemon handles HUP and follows discovery's new address from its whole list on; Connections derives its bounds from limits and closes the longest silent connection for a new one; a request has 2 s to come in and a connection without one is closed after 5 s; both lengths at once are a 400; a close behind a fault waits for the client, so that the reset of unread input does not swallow the error.

--- a/src/main/java/burlford/Configuration.java
+++ b/src/main/java/burlford/Configuration.java
@@ -37,6 +37,15 @@
     }
 
     public static Configuration load(Map<String, String> environment) throws Bad {
+        return load(environment, false);
+    }
+
+    /** The file anew, while the program runs: now its own discovery goes before PROXY_DISCOVERY. */
+    static Configuration reload(Map<String, String> environment) throws Bad {
+        return load(environment, true);
+    }
+
+    private static Configuration load(Map<String, String> environment, boolean again) throws Bad {
         String file = environment.get("PROXY_CONFIG");
         if (file == null) {
             throw new Bad("PROXY_CONFIG names no configuration file");
@@ -53,10 +62,11 @@
         if (root == null || !root.isObject()) {
             throw new Bad(file + " is not a JSON object");
         }
-        return read(file, root, environment);
+        return read(file, root, environment, again);
     }
 
-    private static Configuration read(String file, JsonNode root, Map<String, String> environment) throws Bad {
+    private static Configuration read(String file, JsonNode root, Map<String, String> environment, boolean again)
+            throws Bad {
         ListReader.Listing known = null;
         if (root.hasNonNull("known")) {
             try {
@@ -76,7 +86,8 @@
         } catch (NumberFormatException e) {
             throw new Bad(file + " seed is not a hexadecimal number: " + seed);
         }
-        String discovery = environment.getOrDefault("PROXY_DISCOVERY", root.path("discovery").asText(""));
+        String own = root.path("discovery").asText("");
+        String discovery = again && !own.isEmpty() ? own : environment.getOrDefault("PROXY_DISCOVERY", own);
         return new Configuration(environment.getOrDefault("PROXY_NAME", root.path("name").asText("burlford")),
                 address(file, "listen", environment.getOrDefault("PROXY_LISTEN", root.path("listen").asText(""))),
                 discovery.isEmpty() ? null : address(file, "discovery", discovery),
@@ -109,6 +120,12 @@
         return new Configuration(name, listen, discovery, seed, sockets, object, known);
     }
 
+    /** What of a file read anew can be in force without a start. */
+    Configuration with(Configuration anew) {
+        return new Configuration(name, listen, anew.discovery == null ? discovery : anew.discovery, seed, anew.sockets,
+                anew.settings, known);
+    }
+
     static InetSocketAddress address(String file, String key, String text) throws Bad {
         int colon = text.lastIndexOf(':');
         try {
--- a/src/main/java/burlford/Daemon.java
+++ b/src/main/java/burlford/Daemon.java
@@ -55,6 +55,8 @@
     private static final long LEAST_DRAIN = 800_000;
     private static final long LONGEST_WRITE = 2_000_000;
     private static final long LONGEST_TURN = 1_000_000;
+    /** An eighth of the heap is for requests that come in or wait their turn. */
+    private static final int HELD_SHARE = 8;
 
     private final ManualIoEventLoop loop = new ManualIoEventLoop(Thread.currentThread(), NioIoHandler.newFactory());
     private final LongSupplier clock = clock();
@@ -65,14 +67,18 @@
     private final Path operatorPath;
     private final byte[] operatorText;
     private final Connections connections;
+    private final Map<String, String> environment;
     private Configuration configuration;
     private SearchFront search;
+    private Watch watch;
     private long stopAt = Long.MAX_VALUE;
     private long writtenBy;
 
-    private Daemon(Configuration configuration, Path operatorFile) throws Configuration.Bad {
-        this.configuration = configuration;
-        connections = new Connections(configuration.sockets());
+    private Daemon(Map<String, String> environment, Path operatorFile) throws Configuration.Bad {
+        this.environment = environment;
+        configuration = Configuration.load(environment);
+        connections = new Connections(configuration.sockets(), Runtime.getRuntime().maxMemory() / HELD_SHARE, deadlines,
+                clock);
         operatorPath = operatorFile;
         try {
             operatorText = operatorFile == null ? null : Files.readAllBytes(operatorFile);
@@ -118,12 +124,14 @@
 
         @Override
         public void apply(String settings) throws Configuration.Bad {
-            Configuration to = configuration.with("settings", settings);
-            if (to.settings().equals(configuration.settings())) {
-                return;
-            }
+            adopt(configuration.with("settings", settings));
+        }
+    }
+
+    /** Puts it in force; thrown is what cannot be, and then nothing of it is. */
+    private void adopt(Configuration to) throws Configuration.Bad {
+        if (!to.settings().equals(configuration.settings())) {
             Setup setup = setup(to);
-            configuration = to;
             coordinator.reconfigure(setup.site, setup.dispatcher);
             if (search != null) {
                 search.reconfigure(setup.operator.search().indices());
@@ -131,6 +139,33 @@
             counters.add("configurations");
             LOG.info("new settings are in force");
         }
+        configuration = to;
+    }
+
+    /** SIGHUP: reads the file in the signal's thread, one at a time, so that the last to be read is the last in force. */
+    private synchronized void reload() {
+        try {
+            Configuration anew = Configuration.reload(environment);
+            loop.execute(() -> reloaded(anew));
+        } catch (Configuration.Bad e) {
+            LOG.log(Level.WARNING, "the configuration stays as it was: {0}", e.getMessage());
+        }
+    }
+
+    /** The list, the open queries and what the module knows stay; settings in the store go before the file's. */
+    private void reloaded(Configuration anew) {
+        try {
+            Configuration to = configuration.with(anew);
+            adopt(operator.store() == null ? to : to.with("settings", configuration.settings().toString()));
+            connections.limit(configuration.sockets());
+            if (watch != null) {
+                watch.follow(configuration.discovery());
+            }
+            counters.add("reloads");
+            LOG.info("the configuration was read anew");
+        } catch (Configuration.Bad e) {
+            LOG.log(Level.WARNING, "the configuration stays as it was: {0}", e.getMessage());
+        }
     }
 
     /** Microseconds that only advance, and that began as wall clock: the list's times need no converting. */
@@ -141,11 +176,11 @@
     }
 
     /** Runs until a signal has stopped it and all is answered. */
-    static void run(Configuration configuration, Path operatorFile)
+    static void run(Map<String, String> environment, Path operatorFile)
             throws IOException, Configuration.Bad, Inventory.Bad {
         MICRORAFT.setLevel(Level.WARNING);
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        new Daemon(configuration, operatorFile).run();
+        new Daemon(environment, operatorFile).run();
     }
 
     private void run() throws IOException, Inventory.Bad {
@@ -153,6 +188,7 @@
         for (String name : new String[] {"TERM", "INT"}) {
             Signal.handle(new Signal(name), s -> loop.execute(this::drain));
         }
+        Signal.handle(new Signal("HUP"), s -> reload());
         Inventory inventory = operator.inventory() == null ? null : Inventory.load(operator.inventory(), coordinator.site().cells());
         Bootstrap out = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
@@ -174,7 +210,6 @@
             listeners.add(listen("store", doors.get(operator.store().member()),
                     new StoreFront(store, doors, counters, records::fault)));
         }
-        Watch watch = null;
         if (inventory != null) {
             coordinator.listed(ListKind.WHOLE, inventory.entries());
         } else if (configuration.discovery() != null) {
--- a/src/main/java/burlford/Main.java
+++ b/src/main/java/burlford/Main.java
@@ -42,9 +42,9 @@
         String command = String.join(" ", List.of(args).subList(0, Math.min(args.length, 2)));
         try {
             if (command.equals("serve")) {
-                Daemon.run(Configuration.load(System.getenv()), null);
+                Daemon.run(System.getenv(), null);
             } else if (command.equals("serve --operator") && args.length == 3) {
-                Daemon.run(Configuration.load(System.getenv()), Path.of(args[2]));
+                Daemon.run(System.getenv(), Path.of(args[2]));
             } else if (command.equals("adapter")) {
                 new SimHost().run(new BufferedInputStream(System.in, 1 << 16),
                         new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16));
--- a/src/main/java/burlford/clients/Connections.java
+++ b/src/main/java/burlford/clients/Connections.java
@@ -1,33 +1,102 @@
 package burlford.clients;
 
+import burlford.core.Deadlines;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
 /**
- * The clients' connections on all fronts. Past a number they would use up the descriptors that readers,
- * discovery and the store need, so a connection beyond it is answered with a refusal, and one far beyond it
- * is closed unread. The bytes of their requests are held within a share of the heap.
+ * The clients' connections on all fronts. Past a share of the descriptors they would use up those that
+ * readers, discovery and the store need. For one more then, the one that waits longest without a request
+ * goes: hundreds that connect and say nothing must not shut out those that ask. Where all are at work the
+ * new one is answered with a refusal, and past a further share it is closed unread. The bytes of requests
+ * are held within a share of the heap.
  */
 public final class Connections {
 
-    /** Descriptors kept for all that is not a client; half of them may answer refusals. */
-    private static final int RESERVED = 256;
-    /** Bytes of requests that are coming in or wait for their turn, an eighth of the heap. */
-    private static final int MOST_HELD = 8 << 20;
+    /** A connection that had a request may be closed once it has had none for so long. */
+    private static final long RESTED = 2_000_000;
 
-    private final int most;
+    private final Deadlines deadlines;
+    private final LongSupplier clock;
+    private final long mostHeld;
+    private int most;
+    private int toRefuse;
     private int open;
     private int unwritten;
-    private int held;
+    private long held;
+    /** Those with no request so far, those told that they end, and those between requests; each since when. */
+    private final Map<HttpConnection, Long> silent = new LinkedHashMap<>();
+    private final Map<HttpConnection, Long> resting = new LinkedHashMap<>();
+
+    /** descriptors: all that the process may hold. mostHeld: bytes of requests that come in or wait their turn. */
+    public Connections(int descriptors, long mostHeld, Deadlines deadlines, LongSupplier clock) {
+        this.mostHeld = mostHeld;
+        this.deadlines = deadlines;
+        this.clock = clock;
+        limit(descriptors);
+    }
+
+    /** Of eight descriptors clients hold five, and a half to be refused; the rest is for all others. */
+    public void limit(int descriptors) {
+        most = Math.max(1, descriptors * 5 / 8);
+        toRefuse = Math.max(1, descriptors / 16);
+    }
 
-    /** descriptors: all that the process may hold. */
-    public Connections(int descriptors) {
-        most = Math.max(1, descriptors - RESERVED);
+    Deadlines deadlines() {
+        return deadlines;
     }
 
-    void opened() {
+    long now() {
+        return clock.getAsLong();
+    }
+
+    /** Counts a new one, and makes room for it if there is none. */
+    void opened(HttpConnection c) {
         open++;
+        if (crowded()) {
+            HttpConnection goes = first(silent, 0);
+            goes = goes == null ? first(resting, RESTED) : goes;
+            if (goes != null) {
+                goes.close();
+            }
+        }
+        silent.put(c, now());
     }
 
-    void closed() {
+    private HttpConnection first(Map<HttpConnection, Long> waiting, long least) {
+        Iterator<Map.Entry<HttpConnection, Long>> all = waiting.entrySet().iterator();
+        if (!all.hasNext()) {
+            return null;
+        }
+        Map.Entry<HttpConnection, Long> longest = all.next();
+        return now() - longest.getValue() >= least ? longest.getKey() : null;
+    }
+
+    void closed(HttpConnection c) {
         open--;
+        busy(c);
+    }
+
+    /** It has a request in work. */
+    void busy(HttpConnection c) {
+        silent.remove(c);
+        resting.remove(c);
+    }
+
+    /** It had its reply. */
+    void resting(HttpConnection c) {
+        resting.put(c, now());
+    }
+
+    boolean isResting(HttpConnection c) {
+        return resting.containsKey(c);
+    }
+
+    /** It had its last reply and is to go. */
+    void leaving(HttpConnection c) {
+        silent.put(c, now());
     }
 
     boolean crowded() {
@@ -35,12 +104,12 @@
     }
 
     boolean full() {
-        return open > most + RESERVED / 2;
+        return open > most + toRefuse;
     }
 
     /** Makes room for so many bytes of a request, if there is any. */
     boolean hold(int bytes) {
-        if (held + bytes > MOST_HELD) {
+        if (held + bytes > mostHeld) {
             return false;
         }
         held += bytes;
--- a/src/main/java/burlford/clients/HttpConnection.java
+++ b/src/main/java/burlford/clients/HttpConnection.java
@@ -1,17 +1,22 @@
 package burlford.clients;
 
+import burlford.core.Deadlines;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -20,13 +25,15 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Map;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.logging.Level;
@@ -34,7 +41,8 @@
 
 /**
  * One client's HTTP connection, for either front: requests are answered in the order they came, one at a
- * time; the connection stays until the client or a shutdown ends it, never on a request that was taken.
+ * time. It ends when the client or a shutdown ends it, when no request comes in time, or when room is made
+ * for others; never on a request that was taken.
  */
 public final class HttpConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
 
@@ -42,6 +50,13 @@
     public static final int LONGEST_BODY = 64 * 1024;
     /** Requests that may wait on one connection behind the one in work before it is read no further. */
     private static final int MOST_WAITING = 8;
+    /** From connecting, or from a later request's first byte, to its last: guards against slow and silent clients. */
+    private static final long REQUEST_TIME = 2_000_000;
+    /** A connection without a request is closed after so long: some clients ask once and never close. */
+    private static final long REST_TIME = 5_000_000;
+    /** So long, and for so many bytes, what still comes in behind a last reply is read and thrown away. */
+    private static final long LEAVE_TIME = 1_000_000;
+    private static final int MOST_THROWN_AWAY = 1 << 18;
 
     /** A front: takes each request and replies to it, now or later. */
     public interface Front {
@@ -63,6 +78,10 @@
     private boolean serving;
     private boolean ending;
     private boolean crowded;
+    /** Some bytes of a request have come, and not yet its last. */
+    private boolean begun;
+    private int thrownAway;
+    private Deadlines.Deadline by;
 
     private HttpConnection(Front front, LongSupplier clock, BooleanSupplier draining, Connections connections) {
         this.front = front;
@@ -74,8 +93,37 @@
     /** What turns the bytes of a connection into requests, and the connection itself. */
     public static ChannelHandler[] handlers(Front front, LongSupplier clock, BooleanSupplier draining,
             Connections connections) {
-        return new ChannelHandler[] {new HttpServerCodec(), new BodyBudget(connections), aggregator(),
-            new HttpConnection(front, clock, draining, connections)};
+        HttpConnection c = new HttpConnection(front, clock, draining, connections);
+        return new ChannelHandler[] {c.new Arrivals(), new HttpResponseEncoder(), decoder(),
+            new BodyBudget(connections), aggregator(), c};
+    }
+
+    /** What comes in, before it is decoded. */
+    private final class Arrivals extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext c, Object message) {
+            if (!ending) {
+                arrived();
+                c.fireChannelRead(message);
+                return;
+            }
+            // A body of 60 MB behind a 413, say, is not worth decoding.
+            thrownAway += ((ByteBuf) message).readableBytes();
+            ((ByteBuf) message).release();
+            if (thrownAway > MOST_THROWN_AWAY) {
+                c.channel().config().setAutoRead(false);
+            }
+        }
+    }
+
+    private static HttpRequestDecoder decoder() {
+        return new HttpRequestDecoder() {
+            /** The length would be dropped, and the body read otherwise than whoever passed it on to us read it. */
+            @Override
+            protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+                throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+            }
+        };
     }
 
     /** Collects whole requests; one that is too long comes through as a faulty one, to be answered in turn. */
@@ -96,17 +144,63 @@
     @Override
     public void handlerAdded(ChannelHandlerContext c) {
         ctx = c;
-        connections.opened();
+        c.channel().closeFuture().addListener(f -> {
+            connections.closed(this);
+            connections.deadlines().cancel(by);
+        });
+        connections.opened(this);
         crowded = connections.crowded();
-        c.channel().closeFuture().addListener(f -> connections.closed());
         if (connections.full()) {
             c.close();
+        } else {
+            due(REQUEST_TIME, this::tooSlow);
+        }
+    }
+
+    private void due(long wait, Runnable action) {
+        connections.deadlines().cancel(by);
+        by = connections.deadlines().at(connections.now() + wait, action);
+    }
+
+    void close() {
+        ctx.close();
+    }
+
+    private void arrived() {
+        if (waiting.isEmpty() && !begun) {
+            begun = true;
+            if (connections.isResting(this)) {
+                due(REQUEST_TIME, this::tooSlow);
+            }
         }
     }
 
+    /** Guards against heads and bodies that come slowly or never end. */
+    private void tooSlow() {
+        if (!begun) {
+            close();
+            return;
+        }
+        Exchange e = new Exchange(this, HttpMethod.POST, "", EmptyHttpHeaders.INSTANCE, new byte[0],
+                connections.now(), new TimeoutException(), false);
+        waiting.add(e);
+        front.reject(e, HttpResponseStatus.REQUEST_TIMEOUT, "the request took longer than " + REQUEST_TIME / 1000
+                + " ms to come in");
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext c, FullHttpRequest r) {
+        if (ending) {
+            return;
+        }
+        begun = false;
+        connections.deadlines().cancel(by);
+        connections.busy(this);
         Throwable fault = r.decoderResult().isFailure() ? r.decoderResult().cause() : null;
+        if (fault == null && r.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+            // Chunks have been put together by now; any other coding may hide a request in the body.
+            fault = new IllegalArgumentException("a Transfer-Encoding other than chunked");
+        }
         int size = r.content().readableBytes();
         if (fault == null && !connections.hold(size)) {
             fault = new BodyBudget.NoRoom();
@@ -165,15 +259,35 @@
         ChannelFuture written = ctx.writeAndFlush(response);
         written.addListener(f -> connections.written());
         if (close) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            if (e.fault != null && ctx.channel() instanceof DuplexChannel duplex) {
+                written.addListener(f -> leave(duplex));
+            } else {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
             return;
         }
+        if (waiting.isEmpty()) {
+            connections.resting(this);
+            due(REST_TIME, this::close);
+        }
         if (waiting.size() <= MOST_WAITING) {
             ctx.channel().config().setAutoRead(true);
         }
         serveNext();
     }
 
+    /** Closed over input that nobody read, the connection would be reset, and the reply lost on its way. */
+    private void leave(DuplexChannel channel) {
+        waiting.forEach(this::release);
+        waiting.clear();
+        if (channel.isOpen()) {
+            channel.shutdownOutput();
+            channel.config().setAutoRead(true);
+            connections.leaving(this);
+            due(LEAVE_TIME, this::close);
+        }
+    }
+
     private void release(Exchange e) {
         connections.release(e.held);
         e.held = 0;
--- a/src/main/java/burlford/discovery/Watch.java
+++ b/src/main/java/burlford/discovery/Watch.java
@@ -44,7 +44,7 @@
     private static final String PATH = "/v1/servers";
 
     private final Bootstrap bootstrap;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Coordinator coordinator;
     private final Deadlines deadlines;
     private final ObjectMapper json = new ObjectMapper();
@@ -53,6 +53,7 @@
     private long wait = FIRST_WAIT;
     private Channel channel;
     private Deadlines.Deadline silence;
+    private Deadlines.Deadline opening;
     private boolean stopped;
 
     public Watch(Bootstrap bootstrap, InetSocketAddress address, Coordinator coordinator, Deadlines deadlines) {
@@ -72,12 +73,29 @@
         open();
     }
 
+    /** Discovery has moved. Revisions of another address may mean nothing: its whole list is fetched first. */
+    public void follow(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            LOG.log(Level.INFO, "discovery: now at {0}", to);
+            address = to;
+            fetch = true;
+            wait = FIRST_WAIT;
+            leave();
+            open();
+        }
+    }
+
     public void stop() {
         stopped = true;
+        leave();
+    }
+
+    private void leave() {
         deadlines.cancel(silence);
-        if (channel != null) {
-            channel.close();
-        }
+        deadlines.cancel(opening);
+        Channel left = channel;
+        channel = null;
+        left.close();
     }
 
     private void open() {
@@ -102,18 +120,18 @@
                 LOG.log(Level.WARNING, "discovery: {0}", String.valueOf(f.cause().getMessage()));
             }
         });
-        connecting.channel().closeFuture().addListener(f -> again());
+        opened.closeFuture().addListener(f -> {
+            if (opened == channel) {
+                again();
+            }
+        });
         heard();
     }
 
     private void again() {
         deadlines.cancel(silence);
         if (!stopped) {
-            deadlines.at(coordinator.now() + wait, () -> {
-                if (!stopped) {
-                    open();
-                }
-            });
+            opening = deadlines.at(coordinator.now() + wait, this::open);
             wait = Math.min(LONGEST_WAIT, wait * 2);
         }
     }
--- a/src/test/java/burlford/play/Program.java
+++ b/src/test/java/burlford/play/Program.java
@@ -25,6 +25,7 @@
     private final StringBuilder err = new StringBuilder();
     private final StringBuilder out = new StringBuilder();
     private final List<Thread> readers = new ArrayList<>();
+    private Path file;
 
     public Program(Map<String, String> environment, String... args) throws IOException {
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -43,7 +44,9 @@
         Path file = temporary(".json", new ObjectMapper().writeValueAsString(configuration));
         String[] args = operator == null ? new String[] {"serve"}
                 : new String[] {"serve", "--operator", temporary(".yaml", operator).toString()};
-        return new Program(Map.of("PROXY_CONFIG", file.toString()), args);
+        Program program = new Program(Map.of("PROXY_CONFIG", file.toString()), args);
+        program.file = file;
+        return program;
     }
 
     static Path temporary(String ending, String text) throws IOException {
@@ -91,6 +94,15 @@
         return Integer.parseInt(awaitLog("serves " + front + " at 127\\.0\\.0\\.1:(\\d+)"));
     }
 
+    /** Writes its configuration file anew. */
+    void configure(ObjectNode configuration) throws IOException {
+        Files.writeString(file, new ObjectMapper().writeValueAsString(configuration));
+    }
+
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+    }
+
     public void terminate() {
         process.toHandle().destroy(); // unlike Process.destroy, leaves its streams open
     }
--- a/src/test/java/burlford/play/Transcript.java
+++ b/src/test/java/burlford/play/Transcript.java
@@ -19,18 +19,18 @@
 /**
  * A recorded exchange, played against the program line by line. Peers: c1, c2 (clients of the platform front),
  * q1 (of the search front), a1 (of the store's), s0, s1, s2 (readers, each alone in its cell and so the holder of that shard) and
- * d (discovery).
+ * d (discovery, and e where it moves to).
  *
  * <pre>
- * set POINTER JSON     changes the configuration before the start
+ * set POINTER JSON     changes the configuration; {e} in it is e's address
  * operator TEXT        adds a line to the operator's file; {tmp} is a fresh folder, {file:TEXT} a CSV file
  * PEER &gt; BYTES         sends; \r \n \xNN stand for bytes; {len:TEXT} for TEXT behind its length and a blank line,
  *                      {chunk:TEXT} for a chunk of it; {settings} for the settings as the last set left them
  * PEER &lt; BYTES         what must come next; {n} any number, {id} 16 hex digits, {*} any up to the next byte
  * s0 &gt;&gt; L REST         a frame: a letter and the rest
  * s0 &lt;&lt; L REST         the frame that must come next; {last} in what is sent is the last {id} of one
- * PEER accept|also|end|reset|ended   also: takes a further connection and leaves the one before open
- * program TERM         SIGTERM;  program exit N, program log REGEX, program counts NAME N (at exit)
+ * PEER connect|accept|also|end|reset|ended   also: takes a further connection and leaves the one before open
+ * program TERM|HUP     the signal;  program exit N, program log REGEX, program counts NAME N (at exit)
  * </pre>
  */
 final class Transcript implements AutoCloseable {
@@ -59,6 +59,7 @@
                     .put("phase", "Ready").put("up_since_ms", 0);
         }
         peers.put("d", new Peer());
+        peers.put("e", new Peer());
         configuration.put("discovery", "127.0.0.1:" + peers.get("d").port());
     }
 
@@ -81,7 +82,10 @@
         String[] words = line.split(" ", 3);
         String rest = words.length > 2 ? words[2] : "";
         if (words[0].equals("set")) {
-            set(words[1], JSON.readTree(rest));
+            set(words[1], JSON.readTree(rest.replace("{e}", "127.0.0.1:" + peers.get("e").port())));
+            if (program != null) {
+                program.configure(configuration);
+            }
             return;
         }
         if (words[0].equals("operator")) {
@@ -107,6 +111,7 @@
                 Matcher id = ID.matcher(peer.expect(frameRegex(bytes(rest))));
                 lastId = id.find() ? id.group() : lastId;
             }
+            case "connect" -> { } // a client has connected by now
             case "accept" -> peer.accept();
             case "also" -> peer.also();
             case "end" -> peer.end();
@@ -120,9 +125,10 @@
         return Program.temporary(".d", "") + ".store";
     }
 
-    private void program(String step, String rest) throws InterruptedException {
+    private void program(String step, String rest) throws IOException, InterruptedException {
         switch (step) {
             case "TERM" -> program.terminate();
+            case "HUP" -> program.signal("HUP");
             case "exit" -> assertThat(program.exit()).isEqualTo(Integer.parseInt(rest));
             case "log" -> program.awaitLog(rest);
             case "counts" -> assertThat(program.out().lines()).contains(rest);
