--- a/src/main/java/burlford/Decide.java
+++ b/src/main/java/burlford/Decide.java
@@ -60,7 +60,7 @@
     /** Outcomes count half after so long: about as long as trouble lasts, so that few parts try it again. */
     private static final double TRUST_LIFE = 10.0 * SECOND;
     /** A part that comes to nothing costs so many times its usual time: the wait, and the query it is of. */
-    private static final double FAILURE_COST = 10;
+    static final double FAILURE_COST = 10;
     /** Share of parts that come to nothing where nothing is known; its weight and the peers' in outcomes. */
     private static final double PRIOR_RISK = 0.01;
     private static final double PRIOR_FLEET = 20;
@@ -402,9 +402,9 @@
      * with this part on it, times how much slower than its peers the server is, less the part itself. On a
      * server of ordinary speed that is the counter.
      */
-    private double felt(Server s, int cls, double weight) {
+    private double felt(Server s, int cls, double weight, boolean last) {
         double call = set.callWork() > 0 && s.calledRound == rounds ? set.callWork() / time.base : 0;
-        return (believed(s) + weight - Math.min(call, weight)) * condition(s, cls) - weight;
+        return (believed(s) + weight - Math.min(call, weight)) * condition(s, cls, last) - weight;
     }
 
     /**
@@ -430,9 +430,10 @@
         List<Server> able = holders(p).stream().filter(s -> mayStart(p, s)).toList();
         List<Server> untried = able.stream().filter(s -> p.attempts.stream()
                 .noneMatch(a -> a.server == s && a.mayHaveRun)).toList();
+        boolean last = p.attempts.size() + 1 >= set.allowed().attempts();
         for (Server s : untried.isEmpty() ? able : untried) {
             double cost = cost(p, s);
-            double load = felt(s, p.query.cls, 1 + cost);
+            double load = felt(s, p.query.cls, 1 + cost, last);
             may.put(s, load);
             mostCost = Math.max(mostCost, cost);
             mostLoad = Math.max(mostLoad, load);
@@ -613,11 +614,12 @@
     /**
      * The one notion of a server's state that the score reads: how many times longer than usual a part of
      * this class takes there, by slowness and by the parts that come to nothing. A server that fails fast
-     * looks idle, one that is silent for one class serves the others as usual.
+     * looks idle, one that is silent for one class serves the others as usual. What a failure costs follows
+     * how long failures take there; a part's last attempt costs the query.
      */
-    private double condition(Server s, int cls) {
+    private double condition(Server s, int cls, boolean last) {
         double risk = risk(s, cls);
-        return slowness(s) * (1 + FAILURE_COST * risk / (1 - risk));
+        return slowness(s) * (1 + (last ? FAILURE_COST : s.failureCost) * risk / (1 - risk));
     }
 
     /** Chance that a part comes to nothing: of this class there, else of the server, else anywhere. */
@@ -738,9 +740,11 @@
             }
             if (e.elapsed() > overdue * a.expected) {
                 trust(s, p.query.cls, false);
+                s.failureCost += NEWEST * (FAILURE_COST - s.failureCost);
             }
         } else if (e.outcome() != Outcome.MOOT) {
             trust(s, p.query.cls, false);
+            s.failureCost += NEWEST * (Math.min(FAILURE_COST, 1 + e.elapsed() / plain(a)) - s.failureCost);
             if (e.outcome() == Outcome.FULL) {
                 // Turned away: as good as a report that the queue is longer than believed. What was sent
                 // before the last report tells nothing new: parts turned away together made it hundreds.
--- a/src/main/java/burlford/State.java
+++ b/src/main/java/burlford/State.java
@@ -26,6 +26,8 @@
         long slowAt = Decide.NEVER;
         /** Outcomes by class, and under no class those of probes. */
         final Map<Integer, Measure.Tally> trust = new LinkedHashMap<>();
+        /** How many times its usual time a part loses that fails there, as seen of late. */
+        double failureCost = Decide.FAILURE_COST;
         long probedAt = Decide.NEVER;
         boolean probing;
         long heardAt = Decide.NEVER;
--- a/src/test/java/burlford/DefenceTest.java
+++ b/src/test/java/burlford/DefenceTest.java
@@ -338,6 +338,36 @@
         assertTrue(!failed.isEmpty() && failed.values().stream().allMatch(n -> n == 1), "" + failed);
     }
 
+    /** Where failures cost no time a server that fails every other part still relieves busy ones, but for last attempts. */
+    @Test
+    void failuresAtOnceCostLessThanLateOnes() {
+        assertTrue(failed(1) > 1.5 * failed(700), "at once " + failed(1) + ", late " + failed(700));
+    }
+
+    /** Parts that came to nothing at a server that fails every other one after so long, in 40 rounds of 30. */
+    private int failed(long after) {
+        start(Fixture.plain());
+        int failed = 0;
+        for (long i = 0; i < 40; i++) {
+            List<Send> out = new ArrayList<>();
+            for (int k = 0; k < 30; k++) {
+                out.addAll(sends(at(1000 * i + 1, Fixture.query(1000 * i + 10 * k + 10, SAFE, 30 * i + k + 1, 0))));
+            }
+            List<Event> ends = new ArrayList<>();
+            for (Send s : out) {
+                boolean fails = s.replica() == 11 && s.part() % 20 > 9;
+                failed += fails ? 1 : 0;
+                ends.add(Fixture.end(s.part(), 0, s.replica(), fails ? Outcome.ERROR : Outcome.OK,
+                        (fails ? after : 100) * MS));
+            }
+            List<Event> again = new ArrayList<>();
+            sends(at(1000 * i + 101, ends)).forEach(s -> again.add(Fixture.end(s.part(), 1, s.replica(), Outcome.OK,
+                    100 * MS)));
+            at(1000 * i + 201, again);
+        }
+        return failed;
+    }
+
     /** A query one of whose parts used all its attempts cannot be answered: it ends at once, not at its aim. */
     @Test
     void lostQueryEndsAtOnce() {
