Let a spoilt answer fail its own part only, keep good ones, and turn away open ids and odd weights

Seen by reading, each confirmed by its exchange failing on the code before: an id never sent on the connection was counted as a late answer, and its part waited until the client's time was up; half a frame left the connection taking new parts; a report that could not be read spoilt a good answer; a second copy in the same bytes reset the part sent in between; the other parts on a spoilt connection were told as reset, which makes their queries suspect and ends their further attempts (Decide.suspect). The id of an open query was served; weights were not checked.

Changed: ReaderConnection tells what came once all bytes at hand are read, leaves a connection over anything that does not belong there, gives the rest of a frame 0.25 s, and reports the part concerned as failed and the others as given up. PlatformFront answers 409 to an open id and 400 to weights outside 0 to 1 or not adding up to 1 (0.01 off allowed for rounding). Exchanges now play beside each other: 21 s for 28.

--- a/src/main/java/burlford/clients/PlatformFront.java
+++ b/src/main/java/burlford/clients/PlatformFront.java
@@ -25,6 +25,8 @@
 public final class PlatformFront implements HttpConnection.Front {
 
     private static final long LONGEST_WAIT_MS = 3_600_000;
+    /** Weights are shares of the whole answer, rounded by the client. */
+    private static final double ROUNDING = 0.01;
     private static final String ID = "[!-~]{1,128}";
 
     private final Coordinator coordinator;
@@ -76,6 +78,11 @@
             reject(e, HttpResponseStatus.BAD_REQUEST, f.getMessage());
             return;
         }
+        if (coordinator.isOpen(query.id())) {
+            // Answers name their part by it: one client could get what was made for another.
+            reject(e, HttpResponseStatus.CONFLICT, "header Req-Id names a query that is still open: " + query.id());
+            return;
+        }
         long number = coordinator.take(query, new Reply(e));
         e.onLeft(() -> coordinator.left(number));
     }
@@ -200,6 +207,7 @@
         }
         List<Dispatcher.Part> parts = new ArrayList<>();
         Set<Integer> shards = new HashSet<>();
+        double whole = 0;
         for (JsonNode p : list) {
             String at = "parts[" + parts.size() + "]";
             JsonNode id = p.get("id");
@@ -211,12 +219,19 @@
                 throw new Fault(at + ".id names shard " + id.intValue() + " again");
             }
             double weight = number(p, "w", at, 1.0 / list.size());
+            if (weight <= 0 || weight > 1 + ROUNDING) {
+                throw new Fault(at + ".w is not a share above 0 and up to 1");
+            }
+            whole += weight;
             long hint = (long) number(p, "hint", at, 0);
             JsonNode tag = p.get("tag");
             long partKey = tag != null && tag.isTextual() ? Query.key(tag.textValue())
                     : Query.partKey(key, id.intValue());
             parts.add(new Dispatcher.Part(id.intValue(), weight, hint, partKey));
         }
+        if (Math.abs(whole - 1) > ROUNDING) {
+            throw new Fault("the weights w of parts do not add up to 1");
+        }
         return parts;
     }
 
--- a/src/main/java/burlford/core/Coordinator.java
+++ b/src/main/java/burlford/core/Coordinator.java
@@ -10,6 +10,7 @@
 import burlford.Dispatcher.Send;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -59,6 +60,7 @@
     private final LongSupplier clock;
     private Readers readers;
     private final Map<Long, Open> queries = new LinkedHashMap<>();
+    private final Set<String> openIds = new HashSet<>();
     private final Map<String, ReaderEntry> list = new LinkedHashMap<>();
     private Runnable onListed = () -> { };
     private final ArrayDeque<Decided> decided = new ArrayDeque<>();
@@ -129,6 +131,11 @@
 
     // ---- from the fronts
 
+    /** A query of this id waits for its answer. */
+    public boolean isOpen(String id) {
+        return openIds.contains(id);
+    }
+
     /** Whatever clients would wait, all is answered by then: the program goes. */
     public void endBy(long time) {
         endBy = time;
@@ -147,6 +154,7 @@
         }
         Open o = new Open(number, query, client, dispatcher);
         queries.put(number, o);
+        openIds.add(query.id());
         open += 1 + query.parts().size();
         // Guards the rule that no query is lost, should the module not end it by itself.
         o.lastWord = deadlines.at(query.deadline() - LAST_WORD, () -> {
@@ -318,6 +326,7 @@
 
     private void close(Open o) {
         o.ended = true;
+        openIds.remove(o.query.id());
         open -= 1 + o.query.parts().size();
         deadlines.cancel(o.lastWord);
     }
--- a/src/main/java/burlford/servers/LoadReport.java
+++ b/src/main/java/burlford/servers/LoadReport.java
@@ -1,6 +1,5 @@
 package burlford.servers;
 
-import io.netty.handler.codec.CorruptedFrameException;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,7 +14,10 @@
 
     private LoadReport() { }
 
-    /** Empty for "-" and for a report that lacks a column: the module takes all columns or none. */
+    /**
+     * Empty for "-", for a report that lacks a column (the module takes all columns or none), and for one that
+     * cannot be read: the answer it came with is good all the same.
+     */
     static double[] parse(String text, List<String> columns) {
         if (text.equals("-") || text.isEmpty()) {
             return NONE;
@@ -28,7 +30,7 @@
                 String name = pair.substring(0, Math.max(0, eq)).trim();
                 values.put(SETTINGS_NAMES.getOrDefault(name, name), value);
             } catch (NumberFormatException e) {
-                throw new CorruptedFrameException("load report is no list of name=number: " + text);
+                return NONE;
             }
         }
         if (!values.keySet().containsAll(columns)) {
--- a/src/main/java/burlford/servers/ReaderConnection.java
+++ b/src/main/java/burlford/servers/ReaderConnection.java
@@ -20,8 +20,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -30,6 +32,10 @@
 
     private static final Logger LOG = Logger.getLogger(ReaderConnection.class.getName());
     private static final double[] NO_LOAD = {};
+    /** The rest of a frame comes within this, or never. */
+    private static final long REST_OF_FRAME = 250_000;
+    /** So many ids given up are remembered: not all of them are answered. */
+    private static final int MOST_GIVEN_UP = 256;
 
     /** A call on this connection, and whether its frame's last byte has been written. */
     private static final class Carried {
@@ -46,16 +52,33 @@
     private final InetSocketAddress address;
     private final Map<String, Carried> calls = new LinkedHashMap<>();
     private final ArrayDeque<Probe> probes = new ArrayDeque<>();
+    /** Parts given up here, whose answers come late or not at all. */
+    private final Set<String> givenUp = new LinkedHashSet<>();
+    /** What came with the bytes being read, told once all are read: nothing new may go here behind spoilt ones. */
+    private final ArrayDeque<Runnable> arrived = new ArrayDeque<>();
+    private final Frames frames = new Frames();
     private Channel channel;
     private boolean up;
     private boolean closed;
     private boolean retired;
     private Deadlines.Deadline connectBy;
+    private Deadlines.Deadline restBy;
     private Deadlines.Deadline idleUntil;
 
     /** A probe on this connection: answers come in the order of the questions. */
     record Probe(long sentAt, Deadlines.Deadline[] by, boolean[] over) { }
 
+    /** Cuts out the frames, and knows whether one has come in part. */
+    private static final class Frames extends LengthFieldBasedFrameDecoder {
+        Frames() {
+            super(ByteOrder.LITTLE_ENDIAN, Frame.LONGEST, 0, Frame.LENGTH_BYTES, 0, Frame.LENGTH_BYTES, true);
+        }
+
+        boolean begun() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
     ReaderConnection(ReaderPool pool, ReaderEntry entry) {
         this.pool = pool;
         this.reader = entry.id();
@@ -73,8 +96,7 @@
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel c) {
-                c.pipeline().addLast(new LengthFieldBasedFrameDecoder(ByteOrder.LITTLE_ENDIAN, Frame.LONGEST, 0,
-                        Frame.LENGTH_BYTES, 0, Frame.LENGTH_BYTES, true), new Frame.Decoder(), ReaderConnection.this);
+                c.pipeline().addLast(frames, new Frame.Decoder(), ReaderConnection.this);
             }
         }).connect(address);
         channel = connecting.channel();
@@ -98,7 +120,7 @@
     }
 
     boolean hasRoom() {
-        return !closed && !retired && calls.size() < pool.site().multiplex();
+        return !closed && !retired && restBy == null && calls.size() < pool.site().multiplex();
     }
 
     /** Answers name their part: two calls of one name, from queries of one id, cannot share a connection. */
@@ -144,6 +166,10 @@
         calls.remove(call.partId);
         if (up && !closed) {
             write(Frame.of('K', call.partId));
+            givenUp.add(call.partId);
+            if (givenUp.size() > MOST_GIVEN_UP) {
+                givenUp.remove(givenUp.iterator().next());
+            }
         }
         rest();
     }
@@ -205,13 +231,12 @@
                 }
                 String text = frame.text(0).trim();
                 boolean error = text.equals("500");
-                ended(p, error ? Outcome.ERROR : Outcome.OK,
-                        error ? NO_LOAD : LoadReport.parse(text, pool.site().reportColumns()));
+                double[] load = error ? NO_LOAD : LoadReport.parse(text, pool.site().reportColumns());
+                arrived.add(() -> ended(p, error ? Outcome.ERROR : Outcome.OK, load));
             }
             case 'Z' -> throw new CorruptedFrameException("the reader could not use a frame: " + frame.text(0));
             default -> throw new CorruptedFrameException("unknown letter " + (int) frame.letter());
         }
-        rest();
     }
 
     private void answer(Frame frame) {
@@ -223,22 +248,89 @@
         if (end == frame.rest().length || words.length != 4) {
             throw new CorruptedFrameException("an answer without its line of four words");
         }
+        Carried c = calls.get(words[0]);
+        if (c == null) {
+            if (!givenUp.remove(words[0])) {
+                throw new CorruptedFrameException("an answer to a part that is not out here");
+            }
+            pool.counters().add("readers.answers.late");
+            return;
+        }
         Outcome outcome = switch (words[1]) {
             case "200" -> Outcome.OK;
             case "500" -> Outcome.ERROR;
             case "503" -> Outcome.FULL;
-            default -> throw new CorruptedFrameException("an answer ends in " + words[1]);
+            default -> throw new Spoilt(c, "an answer ends in " + words[1]);
         };
-        String value = outcome == Outcome.OK ? frame.text(end + 1) : null;
+        String value;
+        try {
+            value = outcome == Outcome.OK ? frame.text(end + 1) : null;
+        } catch (CorruptedFrameException e) {
+            throw new Spoilt(c, e.getMessage());
+        }
+        calls.remove(words[0]);
         double[] load = LoadReport.parse(words[3], pool.site().reportColumns());
-        Carried c = calls.remove(words[0]);
-        if (c == null) {
-            pool.counters().add("readers.answers.late");
-        } else {
-            pool.listener().ended(c.call, outcome, value, load);
+        arrived.add(() -> pool.listener().ended(c.call, outcome, value, load));
+    }
+
+    /** An answer of which it is known what part it is to. */
+    private static final class Spoilt extends CorruptedFrameException {
+        private static final long serialVersionUID = 1L;
+        private final transient Carried of;
+
+        Spoilt(Carried of, String message) {
+            super(message);
+            this.of = of;
         }
     }
 
+    /**
+     * All that has come is read. Part of a frame with nothing out is noise behind a good answer; with something
+     * out, it may be an answer that never ends: the connection takes nothing new until the rest has come.
+     */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (!closed && frames.begun()) {
+            if (isIdle()) {
+                spoilt(null, "more bytes than the answer's");
+            } else if (restBy == null) {
+                restBy = pool.deadlines().at(pool.now() + REST_OF_FRAME, () -> spoilt(null, "a frame that does not end"));
+            }
+        } else if (restBy != null) {
+            pool.deadlines().cancel(restBy);
+            restBy = null;
+        }
+        tell();
+        rest();
+    }
+
+    private void tell() {
+        for (Runnable next = arrived.poll(); next != null; next = arrived.poll()) {
+            next.run();
+        }
+    }
+
+    /**
+     * Nothing that comes on this connection can be trusted any more. The answer to the part named, else to the
+     * one out longest, has failed and may have run; the others out here are given up and may be sent elsewhere.
+     * They were not reset: that would cast suspicion on their queries.
+     */
+    private void spoilt(Carried named, String why) {
+        if (closed) {
+            return;
+        }
+        pool.counters().add("readers.frames.bad");
+        if (!calls.isEmpty()) {
+            LOG.log(Level.WARNING, "reader {0}: {1}", new Object[] {reader, why});
+        }
+        List<Carried> out = new ArrayList<>(calls.values());
+        calls.clear();
+        close();
+        Carried failed = named == null && !out.isEmpty() ? out.get(0) : named;
+        out.forEach(c -> pool.listener().ended(c.call, !c.written ? Outcome.NO_CONNECTION
+                : c == failed ? Outcome.ERROR : Outcome.CANCELLED, null, NO_LOAD));
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         closed();
@@ -248,11 +340,12 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         Throwable why = cause.getCause() instanceof CorruptedFrameException ? cause.getCause() : cause;
+        if (why instanceof DecoderException) {
+            spoilt(why instanceof Spoilt s ? s.of : null, why.getMessage());
+            return;
+        }
         if (why instanceof IOException) {
             pool.counters().add("readers.connections.broken");
-        } else if (why instanceof DecoderException) {
-            pool.counters().add("readers.frames.bad");
-            LOG.log(Level.WARNING, "reader {0}: {1}", new Object[] {reader, why.getMessage()});
         } else {
             LOG.log(Level.SEVERE, "reader " + reader, why);
         }
@@ -267,7 +360,9 @@
         closed = true;
         stir();
         pool.deadlines().cancel(connectBy);
+        pool.deadlines().cancel(restBy);
         pool.forget(reader, this);
+        tell();
         List<Carried> lost = new ArrayList<>(calls.values());
         List<Probe> unanswered = new ArrayList<>(probes);
         calls.clear();
--- a/src/test/java/burlford/play/TranscriptTest.java
+++ b/src/test/java/burlford/play/TranscriptTest.java
@@ -7,8 +7,11 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 
 /** Plays every recorded exchange under src/test/resources/transcripts against the program. */
+@Execution(ExecutionMode.CONCURRENT)
 class TranscriptTest {
 
     @TestFactory
