--- a/src/main/java/burlford/Decide.java
+++ b/src/main/java/burlford/Decide.java
@@ -97,6 +97,9 @@
     private static final double MOST_LANES = 2;
     /** Queries are taken when this share of them would end in time. */
     private static final double STRETCH_QUANTILE = 0.7;
+    private static final double LONGEST_STRETCH = 10;
+    /** There is room while queries are expected to take no more than this share of their aim. */
+    private static final double ROOM = 0.5;
 
     private final Settings set;
     private final SplittableRandom random;
@@ -261,6 +264,7 @@
         }
         boolean later = (e.clientRetry() || !set.retriesMarked())
                 && e.timeLeft() < usualTry[q.cls] - c.deadline() / 20;
+        q.guessed = later && !e.clientRetry();
         long spent = later ? Math.max(0, c.deadline() - e.timeLeft()) : 0;
         // A marked later try of a query we gave up is known again by its key; its aim runs from the first.
         Long first = q.key == 0 || !q.clientRetry ? null : gaveUp.remove(List.of((long) q.cls, q.key));
@@ -326,6 +330,11 @@
         // Overrun counts less against a query that brings more for each part than usual: it is shed last.
         usualGain += Math.min(1, DRIFT * q.parts.size()) * (gain(q) - usualGain);
         double asked = longest * (1 + (stretch() - 1) * Math.min(1, usualGain / gain(q)));
+        // A short time left may be its client's way: while there is room it is served like a first try.
+        if (q.guessed && asked < c.aim() * ROOM) {
+            q.firstAt = now;
+            q.aimAt = Math.min(q.endsAt, now + c.aim());
+        }
         suspects.values().removeIf(at -> now - at > SUSPECT_LIFE);
         if (q.aimAt - now < asked || suspects.containsKey(q.key)) {
             giveUp(q);
@@ -341,7 +350,9 @@
     }
 
     private void overran(Query q) {
-        stretch = Math.max(1, follow(stretch(), (now - q.arrivedAt) / q.predicted, STRETCH_QUANTILE, STEP));
+        // Bounded: queries that silent readers kept took hundreds of times as long, and all were shed.
+        stretch = Math.max(1, Math.min(LONGEST_STRETCH,
+                follow(stretch(), (now - q.arrivedAt) / q.predicted, STRETCH_QUANTILE, STEP)));
         stretchAt = now;
     }
 
@@ -841,8 +852,10 @@
 
     private void finish(Query q) {
         QueryClass c = set.classes().get(q.cls);
-        if (suspect(q) && q.drops > 1 && q.parts.stream().allMatch(p -> p.out == 0)) {
-            if (q.key != 0) {
+        // Nothing of it is out, and nothing is sent again while it is suspect: no answer is left to wait for.
+        boolean killed = q.drops > 1;
+        if (suspect(q) && q.parts.stream().allMatch(p -> p.out == 0 && (killed || !p.attempts.isEmpty()))) {
+            if (q.key != 0 && killed) {
                 suspects.put(q.key, now);
             }
             giveUp(q);
--- a/src/main/java/burlford/Dispatcher.java
+++ b/src/main/java/burlford/Dispatcher.java
@@ -4,8 +4,10 @@
 import burlford.Aggregator.Event;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The decision module behind plain calls. Every call says what happened, returns at once and hands back what
@@ -40,6 +42,7 @@
     private final Aggregator module;
     private final Map<String, Long> numbers = new HashMap<>();
     private final Map<Long, String> names = new HashMap<>();
+    private final Set<String> listed = new HashSet<>();
     private final Map<Long, Integer> attempts = new HashMap<>();
     private long latest = Long.MIN_VALUE;
 
@@ -64,12 +67,12 @@
     public Decisions report(long now, Send attempt, Aggregator.Outcome outcome, long elapsed, boolean over,
             double[] load) {
         return round(now, List.of(new Aggregator.AttemptEnd(id(attempt.query(), attempt.part()), attempt.attempt(),
-                number(attempt.reader()), outcome, elapsed, over, load)));
+                known(attempt.reader()), outcome, elapsed, over, load)));
     }
 
     /** A probe ended. */
     public Decisions report(long now, String reader, Aggregator.Outcome outcome, long elapsed, double[] load) {
-        return round(now, List.of(new Aggregator.Probed(number(reader), outcome, elapsed, load)));
+        return round(now, List.of(new Aggregator.Probed(known(reader), outcome, elapsed, load)));
     }
 
     /** The client of a query has left, or its time is over. */
@@ -79,9 +82,24 @@
 
     /** Discovery spoke: the whole list, the list as it once was, or the entries that changed. */
     public Decisions report(long now, Aggregator.ListKind kind, List<Reader> readers) {
+        if (kind != Aggregator.ListKind.CHANGES) {
+            listed.clear();
+        }
+        readers.forEach(r -> {
+            number(r.id());
+            if (r.status() == Aggregator.Status.GONE) {
+                listed.remove(r.id());
+            } else {
+                listed.add(r.id());
+            }
+        });
         List<Aggregator.Listed> entries = readers.stream().map(r -> new Aggregator.Listed(number(r.id()), r.zone(),
                 r.cell(), r.status(), r.size(), r.startedAt())).toList();
-        return round(now, List.of(new Aggregator.Replicas(kind, entries)));
+        Decisions decisions = round(now, List.of(new Aggregator.Replicas(kind, entries)));
+        // Readers are replaced by new ones all day; nothing is sent to one that is gone, so its name is not needed.
+        numbers.keySet().retainAll(listed);
+        names.values().retainAll(listed);
+        return decisions;
     }
 
     /** Time passed. */
@@ -151,6 +169,16 @@
         return hash;
     }
 
+    /** That of a reader that may be gone; it is not numbered anew. */
+    private long known(String reader) {
+        return numbers.getOrDefault(reader, hash(reader));
+    }
+
+    /** Readers by name that are held; no more than are listed, however many came and went. */
+    int readers() {
+        return Math.max(numbers.size(), names.size());
+    }
+
     /** FNV-1a, 64 bits, then mixed. Never 0, which stands for no key. */
     public static long hash(String text) {
         long h = 0xcbf29ce484222325L;
--- a/src/main/java/burlford/State.java
+++ b/src/main/java/burlford/State.java
@@ -57,6 +57,8 @@
         long lookAt = Decide.NEVER;
         boolean open = true;
         boolean clientRetry;
+        /** Its client did not say that it is a later try; its short time left suggests it. */
+        boolean guessed;
         boolean firstWhole;
         boolean served;
         boolean oneAhead;
--- a/src/main/java/burlford/servers/ReaderConnection.java
+++ b/src/main/java/burlford/servers/ReaderConnection.java
@@ -63,6 +63,12 @@
     private boolean retired;
     private Deadlines.Deadline connectBy;
     private Deadlines.Deadline restBy;
+    /** When something last came, or was first waited for. */
+    private long heardAt;
+    private Deadlines.Deadline quiet;
+    /** Questions whether it is alive that wait for their answers, and whether one waits for long. */
+    private int asked;
+    private boolean doubtful;
     private Deadlines.Deadline idleUntil;
 
     /** A probe on this connection: answers come in the order of the questions. */
@@ -120,7 +126,7 @@
     }
 
     boolean hasRoom() {
-        return !closed && !retired && restBy == null && calls.size() < pool.site().multiplex();
+        return !closed && !retired && restBy == null && !doubtful && calls.size() < pool.site().multiplex();
     }
 
     /** Answers name their part: two calls of one name, from queries of one id, cannot share a connection. */
@@ -140,6 +146,9 @@
     void send(Call call) {
         stir();
         Carried c = new Carried(call);
+        if (calls.isEmpty()) {
+            heardAt = pool.now();
+        }
         calls.put(call.partId, c);
         if (up) {
             write(c);
@@ -154,6 +163,7 @@
         byte[] rest = new byte[line.length + c.call.text.length];
         System.arraycopy(line, 0, rest, 0, line.length);
         System.arraycopy(c.call.text, 0, rest, line.length, c.call.text.length);
+        listen();
         channel.writeAndFlush(new Frame('D', rest).encode()).addListener(f -> c.written = f.isSuccess());
     }
 
@@ -193,6 +203,44 @@
         }
     }
 
+    /**
+     * A connection may fall silent while its reader serves all others, and a reader without a word. So where parts
+     * are out and nothing comes for half the connect time-out it is asked whether it is alive: still silent for
+     * as long again it takes nothing new, and for three times as long its parts have timed out. Readers that
+     * stand still now and then do so for less.
+     */
+    private void listen() {
+        if (quiet == null && up && !closed && !calls.isEmpty()) {
+            long patience = pool.site().connectTimeout() / 2;
+            quiet = pool.deadlines().at(Math.max(heardAt + patience, pool.now() + 1), () -> {
+                quiet = null;
+                if (!calls.isEmpty() && pool.now() - heardAt >= patience) {
+                    asked++;
+                    write(Frame.of('I', ""));
+                    quiet = pool.deadlines().at(pool.now() + patience, () -> doubt(patience));
+                } else {
+                    listen();
+                }
+            });
+        }
+    }
+
+    private void doubt(long patience) {
+        doubtful = asked > 0;
+        quiet = pool.deadlines().at(pool.now() + 2 * patience, () -> {
+            quiet = null;
+            if (asked > 0) {
+                pool.counters().add("readers.connections.silent");
+                List<Carried> out = new ArrayList<>(calls.values());
+                calls.clear();
+                close();
+                out.forEach(c -> pool.listener().ended(c.call, Outcome.TIMEOUT, null, NO_LOAD));
+            } else {
+                listen();
+            }
+        });
+    }
+
     private void stir() {
         pool.deadlines().cancel(idleUntil);
         idleUntil = null;
@@ -222,7 +270,15 @@
         if (closed) {
             return;
         }
+        heardAt = pool.now();
         switch (frame.letter()) {
+            case 'I' -> {
+                if (asked == 0) {
+                    throw new CorruptedFrameException("an answer to a question nobody asked");
+                }
+                asked--;
+                doubtful &= asked > 0;
+            }
             case 'O' -> answer(frame);
             case 'U' -> {
                 Probe p = probes.poll();
@@ -361,6 +417,7 @@
         stir();
         pool.deadlines().cancel(connectBy);
         pool.deadlines().cancel(restBy);
+        pool.deadlines().cancel(quiet);
         pool.forget(reader, this);
         tell();
         List<Carried> lost = new ArrayList<>(calls.values());
--- a/src/test/java/burlford/DefenceTest.java
+++ b/src/test/java/burlford/DefenceTest.java
@@ -132,6 +132,50 @@
         assertEquals(3, sends(at(301, Fixture.query(20, SAFE, 8, 0, 1, 2))).size());
     }
 
+    /** Queries that silent readers kept to the end must not have all others shed for seconds. */
+    @Test
+    void queriesKeptBySilentReadersDoNotShedAllOthers() {
+        start(oneHolder());
+        for (int i = 0; i < 200; i++) {
+            long number = 10L * (i + 1);
+            for (Send s : sends(at(10000L * i + 1, Fixture.query(number, SAFE, i, 0)))) {
+                at(10000L * i + 21, List.of(Fixture.end(s.part(), 0, 11, Outcome.OK, 20 * MS)));
+            }
+        }
+        long t = 10000L * 200;
+        List<Event> late = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            sends(at(t, Fixture.query(10000L + 10 * i, SAFE, i, 0))).forEach(s -> late.add(Fixture.end(s.part(), 0, 11,
+                    Outcome.OK, 1900 * MS)));
+        }
+        at(t + 1900, late);
+        assertEquals(1, sends(at(t + 1901, Fixture.query(90000L, SAFE, 7, 0))).size());
+    }
+
+    /** Some clients wait less than others: with readers idle their queries are no later tries that come too late. */
+    @Test
+    void shortTimeLeftIsServedWhileThereIsRoom() {
+        start(Fixture.plain());
+        for (int i = 0; i < 20; i++) {
+            for (Send s : sends(at(100L * i + 1, Fixture.query(10L * (i + 1), SAFE, i, 0)))) {
+                at(100L * i + 21, List.of(Fixture.end(s.part(), 0, s.replica(), Outcome.OK, 20 * MS)));
+            }
+        }
+        List<Event> hasty = new ArrayList<>(List.of(new Aggregator.QueryIn(900, 900, SAFE, 1, 600 * MS, 0, false, 7, 0),
+                new Aggregator.PartIn(901, 900, 0, 1, 0, 7)));
+        assertEquals(1, sends(at(3000, hasty)).size());
+    }
+
+    /** One part reset, the other failed: nothing is sent again, so the client is not kept until its time is up. */
+    @Test
+    void queryThatSendsNothingAgainIsAnsweredAtOnce() {
+        start(Fixture.plain());
+        List<Send> sent = sends(at(1, Fixture.query(1, SAFE, 7, 0, 1)));
+        at(20, List.of(Fixture.end(sent.get(0).part(), 0, sent.get(0).replica(), Outcome.DROPPED, MS)));
+        List<Action> out = at(30, List.of(Fixture.end(sent.get(1).part(), 0, sent.get(1).replica(), Outcome.ERROR, MS)));
+        assertEquals(1, Fixture.only(out, Refuse.class).size(), "" + out);
+    }
+
     /** A victim of another's crash is told from it by its answered parts, and goes on. */
     @Test
     void resetPartIsSentAgainOnceAnotherWasAnswered() {
