--- a/src/main/java/burlford/Daemon.java
+++ b/src/main/java/burlford/Daemon.java
@@ -64,6 +64,8 @@
     private static final long LONGEST_TURN = 1_000_000;
     /** An eighth of the heap is for requests that come in or wait their turn. */
     private static final int HELD_SHARE = 8;
+    /** Of the descriptors that clients leave a quarter of all may go to readers before calls share connections. */
+    private static final int READERS_SHARE = 4;
 
     private final ManualIoEventLoop loop = new ManualIoEventLoop(Thread.currentThread(), NioIoHandler.newFactory());
     private final LongSupplier clock = clock();
@@ -202,7 +204,8 @@
         Inventory inventory = operator.inventory() == null ? null : Inventory.load(operator.inventory(), coordinator.site().cells());
         Bootstrap out = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
-        coordinator.connect(new ReaderPool(out, coordinator, deadlines));
+        coordinator.connect(new ReaderPool(out, coordinator, deadlines,
+                () -> configuration.sockets() / READERS_SHARE));
         List<Channel> listeners = new ArrayList<>();
         listeners.add(listen("platform", configuration.listen(), new PlatformFront(coordinator, this::draining)));
         if (operator.search() != null) {
--- a/src/main/java/burlford/servers/ReaderConnection.java
+++ b/src/main/java/burlford/servers/ReaderConnection.java
@@ -126,7 +126,7 @@
     }
 
     boolean hasRoom() {
-        return !closed && !retired && restBy == null && !doubtful && calls.size() < pool.site().multiplex();
+        return !closed && !retired && restBy == null && !doubtful && calls.size() < pool.callsEach();
     }
 
     /** Answers name their part: two calls of one name, from queries of one id, cannot share a connection. */
@@ -424,6 +424,9 @@
         List<Probe> unanswered = new ArrayList<>(probes);
         calls.clear();
         probes.clear();
+        if (lost.stream().anyMatch(c -> c.written)) {
+            pool.broken();
+        }
         for (Carried c : lost) {
             pool.listener().ended(c.call, c.written ? Outcome.DROPPED : Outcome.NO_CONNECTION, null, NO_LOAD);
         }
--- a/src/main/java/burlford/servers/ReaderPool.java
+++ b/src/main/java/burlford/servers/ReaderPool.java
@@ -13,18 +13,29 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 
-/** The connections to all readers: each call goes on one with room, or on a new one. */
+/**
+ * The connections to all readers: each call goes on one with room, or on a new one. A connection that breaks
+ * takes all that is out on it along; so for a while after one did, each call gets a connection to itself.
+ */
 public final class ReaderPool implements Readers {
 
+    private static final long CAREFUL = 10_000_000;
+
     private final Bootstrap bootstrap;
     private final Coordinator coordinator;
     private final Deadlines deadlines;
     private final Map<String, ReaderEntry> entries = new HashMap<>();
     private final Map<String, List<ReaderConnection>> connections = new HashMap<>();
+    private final IntSupplier most;
+    private int open;
+    private long carefulUntil = Long.MIN_VALUE;
 
-    public ReaderPool(Bootstrap bootstrap, Coordinator coordinator, Deadlines deadlines) {
+    /** most: connections up to which calls may get one each. */
+    public ReaderPool(Bootstrap bootstrap, Coordinator coordinator, Deadlines deadlines, IntSupplier most) {
+        this.most = most;
         this.bootstrap = bootstrap;
         this.coordinator = coordinator;
         this.deadlines = deadlines;
@@ -106,17 +117,31 @@
         List<ReaderConnection> held = connections.computeIfAbsent(reader, r -> new ArrayList<>());
         if (!held.contains(c)) {
             held.add(c);
+            open++;
             c.open(bootstrap);
         }
     }
 
     void forget(String reader, ReaderConnection c) {
         List<ReaderConnection> held = connections.get(reader);
-        if (held != null && held.remove(c) && held.isEmpty()) {
-            connections.remove(reader);
+        if (held != null && held.remove(c)) {
+            open--;
+            if (held.isEmpty()) {
+                connections.remove(reader);
+            }
         }
     }
 
+    /** A connection broke with calls out on it. */
+    void broken() {
+        carefulUntil = now() + CAREFUL;
+    }
+
+    /** How many calls a connection takes at present. */
+    int callsEach() {
+        return now() < carefulUntil && open < most.getAsInt() ? 1 : site().multiplex();
+    }
+
     Site site() {
         return coordinator.site();
     }
