--- a/examples/ToyReader.java
+++ b/examples/ToyReader.java
@@ -9,7 +9,7 @@
 
 /**
  * A toy reader to try burlford with: {@code java examples/ToyReader.java 7001 7002 7003} listens on those
- * loopback ports (0: any free one) and answers every part with its shard and the text it came with.
+ * loopback ports and answers every part with its shard and the text it came with.
  */
 public final class ToyReader {
 
@@ -17,7 +17,7 @@
         for (String port : ports) {
             ServerSocket listener = new ServerSocket(Integer.parseInt(port), 50, InetAddress.getLoopbackAddress());
             new Thread(() -> accept(listener)).start();
-            System.out.println("toy reader at 127.0.0.1:" + listener.getLocalPort());
+            System.out.println("toy reader at 127.0.0.1:" + port);
         }
     }
 
--- a/src/main/java/burlford/Daemon.java
+++ b/src/main/java/burlford/Daemon.java
@@ -64,8 +64,8 @@
     private static final long LONGEST_TURN = 1_000_000;
     /** An eighth of the heap is for requests that come in or wait their turn. */
     private static final int HELD_SHARE = 8;
-    /** Of the descriptors that clients leave a quarter of all may go to readers before calls share connections. */
-    private static final int READERS_SHARE = 4;
+    /** Of all descriptors a sixth may go to readers before calls share connections. */
+    private static final int READERS_SHARE = 6;
 
     private final ManualIoEventLoop loop = new ManualIoEventLoop(Thread.currentThread(), NioIoHandler.newFactory());
     private final LongSupplier clock = clock();
--- a/src/main/java/burlford/clients/Connections.java
+++ b/src/main/java/burlford/clients/Connections.java
@@ -39,9 +39,9 @@
         limit(descriptors);
     }
 
-    /** Of eight descriptors clients hold five, and a half to be refused; the rest is for all others. */
+    /** Of sixteen descriptors clients hold nine, and one to be refused; the rest is for all others. */
     public void limit(int descriptors) {
-        most = Math.max(1, descriptors * 5 / 8);
+        most = Math.max(1, descriptors * 9 / 16);
         toRefuse = Math.max(1, descriptors / 16);
     }
 
--- a/src/main/java/burlford/clients/PlatformFront.java
+++ b/src/main/java/burlford/clients/PlatformFront.java
@@ -98,7 +98,12 @@
     @Override
     public void crowded(Exchange e) {
         coordinator.counters().add("clients.requests.crowded");
-        reject(e, HttpResponseStatus.SERVICE_UNAVAILABLE, "refused: too many connections");
+        e.reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "text/plain", "refused: too many connections\n",
+                comeBack(coordinator.site().comeBack()));
+    }
+
+    private static Map<String, String> comeBack(long after) {
+        return after <= 0 ? Map.of() : Map.of("Retry-After", String.format(Locale.ROOT, "%.3f", after / 1e6));
     }
 
     private final class Reply implements Client {
@@ -124,8 +129,7 @@
 
         @Override
         public void refused(long retryAfter) {
-            exchange.reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "text/plain", "refused\n", retryAfter <= 0
-                    ? Map.of() : Map.of("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfter / 1e6)));
+            exchange.reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "text/plain", "refused\n", comeBack(retryAfter));
         }
 
         @Override
--- a/src/main/java/burlford/core/Coordinator.java
+++ b/src/main/java/burlford/core/Coordinator.java
@@ -149,7 +149,7 @@
         if (open + 1 + query.parts().size() > site.maxOpen()) {
             counters.add("queries.refused.max_open");
             counters.add("queries.refused");
-            client.refused(0);
+            client.refused(site.comeBack());
             return number;
         }
         Open o = new Open(number, query, client, dispatcher);
--- a/src/main/java/burlford/core/Site.java
+++ b/src/main/java/burlford/core/Site.java
@@ -10,7 +10,7 @@
  */
 public record Site(List<String> classes, List<String> tenants, List<String> zones, int shards, int cells, int reach,
         int multiplex, long connectTimeout, long connIdle, int maxOpen, List<String> reportColumns,
-        long longestDeadline) {
+        long longestDeadline, long comeBack) {
 
     /** A setting is missing or makes no sense; the message names its key. */
     public static final class BadSetting extends RuntimeException {
@@ -32,7 +32,8 @@
                 count(settings, "familyInfo.sets"), count(settings, "familyInfo.reach"),
                 count(settings, "allowed.multiplex"), count(settings, "allowed.connectTimeout"),
                 count(settings, "allowed.connIdle"), count(settings, "allowed.maxOpen"),
-                list(settings.getOrDefault("feedback.columns", "")), longestDeadline(settings));
+                list(settings.getOrDefault("feedback.columns", "")), longestDeadline(settings),
+                comeBack(settings));
     }
 
     public boolean holds(int cell, int shard) {
@@ -52,6 +53,12 @@
         return List.copyOf(names);
     }
 
+    /** What a client turned away for want of room is told to wait: the most that may be told; 0 where nothing may. */
+    private static long comeBack(Map<String, String> settings) {
+        return "true".equals(settings.get("allowed.retryAfter"))
+                ? (long) number("allowed.maxRetryAfter", settings.getOrDefault("allowed.maxRetryAfter", "0")) : 0;
+    }
+
     private static long longestDeadline(Map<String, String> settings) {
         return settings.entrySet().stream().filter(e -> e.getKey().matches("classes\\.[0-9]+\\.deadline"))
                 .mapToLong(e -> (long) number(e.getKey(), e.getValue())).max().orElse(0);
