End connections behind their answers before a stop, and close none over a request that has begun

Now connections end behind their answers for the last 0.5 s and none is closed between requests; a resting connection on which a request has begun is not closed for another.

--- a/src/main/java/burlford/Daemon.java
+++ b/src/main/java/burlford/Daemon.java
@@ -60,6 +60,11 @@
      */
     private static final long LONGEST_SERVING = 3_000_000;
     private static final long ANSWERED_AFTER = 500_000;
+    /**
+     * So long before the end connections end behind their answers: one closed between requests may cross the next
+     * one, and that one was lost.
+     */
+    private static final long HANDING_OVER = 500_000;
     private static final long LONGEST_WRITE = 2_000_000;
     private static final long LONGEST_TURN = 1_000_000;
     /** An eighth of the heap is for requests that come in or wait their turn. */
@@ -82,6 +87,7 @@
     private Watch watch;
     private boolean draining;
     /** From then on connections end behind their answers. */
+    private long handOverAt = Long.MAX_VALUE;
     private long stopAt = Long.MAX_VALUE;
     private long leaveAt = Long.MAX_VALUE;
     private long writtenBy;
@@ -293,8 +299,9 @@
         leaveAt = now + LEAST_DRAIN;
         stopAt = now + serving;
         coordinator.endBy(now + serving + ANSWERED_AFTER);
+        deadlines.at(stopAt, () -> { });
         deadlines.at(leaveAt, () -> { }); // ends the turn that waits for the network then
-        deadlines.at(stopAt, connections::closeResting);
+        handOverAt = Math.max(leaveAt, stopAt - HANDING_OVER);
     }
 
     private Channel listen(String what, InetSocketAddress at, HttpConnection.Front front) throws IOException {
@@ -305,7 +312,7 @@
                     @Override
                     protected void initChannel(Channel c) {
                         counters.add("clients.connections");
-                        c.pipeline().addLast(HttpConnection.handlers(front, clock, () -> clock.getAsLong() >= stopAt, connections));
+                        c.pipeline().addLast(HttpConnection.handlers(front, clock, () -> clock.getAsLong() >= handOverAt, connections));
                     }
                 }).bind(at);
         bound(bound, at);
--- a/src/main/java/burlford/clients/Connections.java
+++ b/src/main/java/burlford/clients/Connections.java
@@ -3,7 +3,6 @@
 import burlford.core.Deadlines;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
 
@@ -104,11 +103,6 @@
         return open > 0;
     }
 
-    /** The program goes. */
-    public void closeResting() {
-        List.copyOf(resting.keySet()).forEach(HttpConnection::close);
-    }
-
     boolean crowded() {
         return open > most;
     }
--- a/src/main/java/burlford/clients/HttpConnection.java
+++ b/src/main/java/burlford/clients/HttpConnection.java
@@ -171,6 +171,7 @@
         if (waiting.isEmpty() && !begun) {
             begun = true;
             if (connections.isResting(this)) {
+                connections.busy(this); // not closed for another over a request that has begun
                 due(REQUEST_TIME, this::tooSlow);
             }
         }
