--- a/src/main/java/burlford/clients/Connections.java
+++ b/src/main/java/burlford/clients/Connections.java
@@ -103,6 +103,11 @@
         return open > 0;
     }
 
+    /** Little room is left: connections end behind their replies, which frees them sooner than their rest would. */
+    boolean scarce() {
+        return open > most * 3 / 4;
+    }
+
     boolean crowded() {
         return open > most;
     }
--- a/src/main/java/burlford/clients/HttpConnection.java
+++ b/src/main/java/burlford/clients/HttpConnection.java
@@ -247,7 +247,8 @@
     void reply(Exchange e, HttpResponseStatus status, String contentType, byte[] body, Map<String, String> extra) {
         waiting.remove(e);
         release(e);
-        boolean close = !e.keepAlive || crowded || leaving.getAsBoolean();
+        // Clients that ask once and keep their connection came so fast that all room was taken by them.
+        boolean close = !e.keepAlive || crowded || connections.scarce() || leaving.getAsBoolean();
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 e.method.equals(HttpMethod.HEAD) ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
