--- a/src/main/java/burlford/servers/ReaderConnection.java
+++ b/src/main/java/burlford/servers/ReaderConnection.java
@@ -205,13 +205,14 @@
 
     /**
      * A connection may fall silent while its reader serves all others, and a reader without a word. So where parts
-     * are out and nothing comes for half the connect time-out it is asked whether it is alive: still silent for
+     * are out and nothing comes for half the connect time-out, or a twelfth of the longest deadline where that is
+     * more (parts take their time there), it is asked whether it is alive: still silent for
      * as long again it takes nothing new, and for three times as long its parts have timed out. Readers that
      * stand still now and then do so for less.
      */
     private void listen() {
         if (quiet == null && up && !closed && !calls.isEmpty()) {
-            long patience = pool.site().connectTimeout() / 2;
+            long patience = Math.max(pool.site().connectTimeout() / 2, pool.site().longestDeadline() / 12);
             quiet = pool.deadlines().at(Math.max(heardAt + patience, pool.now() + 1), () -> {
                 quiet = null;
                 if (!calls.isEmpty() && pool.now() - heardAt >= patience) {
