--- a/src/main/java/burlford/Main.java
+++ b/coordinator/src/main/java/burlford/Main.java
@@ -1,8 +1,10 @@
 package burlford;
 
-import burlford.adapter.BadInput;
 import burlford.adapter.SimHost;
+import burlford.daemon.Configuration;
+import burlford.daemon.Daemon;
 import burlford.inventory.Inventory;
+import burlford.settings.BadInput;
 import burlford.store.StoreCommand;
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
--- a/src/main/java/burlford/adapter/SimHost.java
+++ b/coordinator/src/main/java/burlford/adapter/SimHost.java
@@ -1,7 +1,9 @@
 package burlford.adapter;
 
-import burlford.Aggregator;
-import burlford.Decide;
+import burlford.policy.Aggregator;
+import burlford.policy.Decide;
+import burlford.settings.BadInput;
+import burlford.settings.Settings;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
--- a/src/main/java/burlford/adapter/Wire.java
+++ b/coordinator/src/main/java/burlford/adapter/Wire.java
@@ -1,6 +1,7 @@
 package burlford.adapter;
 
-import burlford.Aggregator;
+import burlford.policy.Aggregator;
+import burlford.settings.BadInput;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/burlford/clients/PlatformFront.java
+++ b/coordinator/src/main/java/burlford/clients/PlatformFront.java
@@ -1,9 +1,9 @@
 package burlford.clients;
 
-import burlford.Dispatcher;
 import burlford.core.Client;
 import burlford.core.Coordinator;
 import burlford.core.Query;
+import burlford.policy.Dispatcher;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/src/main/java/burlford/core/Call.java
+++ b/coordinator/src/main/java/burlford/core/Call.java
@@ -1,6 +1,6 @@
 package burlford.core;
 
-import burlford.Dispatcher.Send;
+import burlford.policy.Dispatcher.Send;
 
 /** One attempt of a part on its way to a reader. deadline: when the coordinator stops waiting. */
 public final class Call {
--- a/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -1,13 +1,13 @@
 package burlford.core;
 
-import burlford.Aggregator.ListKind;
-import burlford.Aggregator.Outcome;
-import burlford.Aggregator.Status;
-import burlford.Dispatcher;
-import burlford.Dispatcher.Cancel;
-import burlford.Dispatcher.Decisions;
-import burlford.Dispatcher.Ending;
-import burlford.Dispatcher.Send;
+import burlford.policy.Aggregator.ListKind;
+import burlford.policy.Aggregator.Outcome;
+import burlford.policy.Aggregator.Status;
+import burlford.policy.Dispatcher;
+import burlford.policy.Dispatcher.Cancel;
+import burlford.policy.Dispatcher.Decisions;
+import burlford.policy.Dispatcher.Ending;
+import burlford.policy.Dispatcher.Send;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -25,7 +25,7 @@
  * Holds the open queries between whoever asks and the readers, and carries out what the dispatcher decides.
  * It knows no wire: fronts call {@link #take} and {@link #left}, the readers' side reports what came back.
  */
-public final class Coordinator {
+public final class Coordinator implements Roster {
 
     private static final Logger LOG = Logger.getLogger(Coordinator.class.getName());
     /** Before the client's time is up by this much a query still open is failed, whatever was decided. */
@@ -99,19 +99,22 @@
         return all;
     }
 
-    /** Runs after each change of the list. */
+    @Override
     public void onListed(Runnable action) {
         onListed = action;
     }
 
+    @Override
     public Site site() {
         return site;
     }
 
+    @Override
     public Counters counters() {
         return counters;
     }
 
+    @Override
     public long now() {
         return clock.getAsLong();
     }
@@ -125,6 +128,7 @@
         return queries.values().stream().allMatch(q -> q.ended);
     }
 
+    @Override
     public List<ReaderEntry> readers() {
         return List.copyOf(list.values());
     }
@@ -208,7 +212,7 @@
 
     // ---- from discovery
 
-    /** The list, or what changed of it. */
+    @Override
     public void listed(ListKind kind, List<ReaderEntry> entries) {
         counters.add("lists." + kind.name().toLowerCase());
         if (kind != ListKind.CHANGES) {
--- a/src/main/java/burlford/core/Query.java
+++ b/coordinator/src/main/java/burlford/core/Query.java
@@ -1,7 +1,7 @@
 package burlford.core;
 
-import burlford.Dispatcher;
-import burlford.Dispatcher.Part;
+import burlford.policy.Dispatcher;
+import burlford.policy.Dispatcher.Part;
 import java.util.List;
 
 /**
--- a/src/main/java/burlford/Configuration.java
+++ b/coordinator/src/main/java/burlford/daemon/Configuration.java
@@ -1,4 +1,4 @@
-package burlford;
+package burlford.daemon;
 
 import burlford.discovery.ListReader;
 import com.fasterxml.jackson.core.JsonProcessingException;
--- /dev/null
+++ b/coordinator/src/main/java/burlford/daemon/Daemon.java
@@ -0,0 +1,204 @@
+package burlford.daemon;
+
+import burlford.core.Roster;
+import burlford.discovery.Watch;
+import burlford.inventory.Inventory;
+import burlford.policy.Aggregator.ListKind;
+import burlford.store.MemoryStore;
+import burlford.store.ReplicatedStore;
+import burlford.store.Store;
+import burlford.store.StoreFront;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.NetUtil;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import sun.misc.Signal;
+
+/** The life of one running coordinator: start, reload, drain and stop. */
+public final class Daemon {
+
+    private static final Logger LOG = Logger.getLogger(Daemon.class.getName());
+    /** Held here: a logger that nobody holds forgets its level. */
+    private static final Logger MICRORAFT = Logger.getLogger("io.microraft");
+
+    private final Map<String, String> environment;
+    private final Shared shared;
+    private final Turns turns;
+    private final Lane lane;
+    private final List<Channel> listeners = new ArrayList<>();
+    private Watch watch;
+
+    private Daemon(Map<String, String> environment, Path operatorFile) throws Configuration.Bad {
+        this.environment = environment;
+        shared = new Shared(Configuration.load(environment), operatorFile);
+        turns = new Turns(Thread.currentThread(), shared.clock);
+        lane = new Lane(turns, shared);
+        OperatorFile operator = shared.setup().operator();
+        if (shared.configuration().discovery() == null && operator.inventory() == null && operator.store() == null) {
+            throw new Configuration.Bad("neither discovery, an inventory nor a store names the readers");
+        }
+    }
+
+    /** Runs until a signal has stopped it and all is answered. */
+    public static void run(Map<String, String> environment, Path operatorFile)
+            throws IOException, Configuration.Bad, Inventory.Bad {
+        MICRORAFT.setLevel(Level.WARNING);
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        new Daemon(environment, operatorFile).run();
+    }
+
+    private void run() throws IOException, Inventory.Bad {
+        // Before anyone can know that we are there: a signal sent as soon as we listen must not kill us.
+        for (String name : new String[] {"TERM", "INT"}) {
+            Signal.handle(new Signal(name), s -> turns.loop.execute(this::drain));
+        }
+        Signal.handle(new Signal("HUP"), s -> reload());
+        Configuration configuration = shared.configuration();
+        OperatorFile operator = shared.setup().operator();
+        Roster roster = lane.coordinator;
+        Inventory inventory = operator.inventory() == null ? null
+                : Inventory.load(operator.inventory(), roster.site().cells());
+        listen("platform", configuration.listen(), lane::platform);
+        if (operator.search() != null) {
+            listen("search", operator.search().listen(), lane::search);
+        }
+        Store store = store(operator.store());
+        Records records = new Records(store, roster, turns.deadlines, new InForce(), operator.inventory() == null
+                && configuration.discovery() == null);
+        records.start();
+        if (operator.store() != null) {
+            Map<String, InetSocketAddress> doors = operator.store().admins();
+            StoreFront door = new StoreFront(store, doors, turns.counters, records::fault);
+            listen("store", doors.get(operator.store().member()), c -> lane.serve(c, door));
+        }
+        if (inventory != null) {
+            roster.listed(ListKind.WHOLE, inventory.entries());
+        } else if (configuration.discovery() != null) {
+            watch = new Watch(lane.out, configuration.discovery(), roster, turns.deadlines);
+            watch.start(configuration.known());
+        }
+        while (!lane.over()) {
+            turns.turn();
+        }
+        listeners.forEach(Channel::close);
+        if (watch != null) {
+            watch.stop();
+        }
+        store.close();
+        turns.loop.runNow();
+        System.out.print(turns.counters.text());
+        System.out.flush();
+    }
+
+    // ---- settings
+
+    /** The settings as the store's records see them. */
+    private final class InForce implements Records.Settings {
+        @Override
+        public String own() {
+            return shared.configuration().settings().toPrettyString();
+        }
+
+        @Override
+        public void check(String settings) throws Configuration.Bad {
+            shared.read(shared.configuration().with("settings", settings));
+        }
+
+        @Override
+        public void apply(String settings) throws Configuration.Bad {
+            adopt(shared.configuration().with("settings", settings));
+        }
+    }
+
+    /** Puts it in force; thrown is what cannot be, and then nothing of it is. */
+    private void adopt(Configuration to) throws Configuration.Bad {
+        Shared.Setup setup = shared.read(to);
+        boolean changed = !to.settings().equals(shared.configuration().settings());
+        shared.adopt(setup);
+        if (changed) {
+            lane.reconfigure(setup);
+            turns.counters.add("configurations");
+            LOG.info("new settings are in force");
+        }
+    }
+
+    /** SIGHUP: reads the file in the signal's thread, one at a time, so that the last to be read is the last in force. */
+    private synchronized void reload() {
+        try {
+            Configuration anew = Configuration.reload(environment);
+            turns.loop.execute(() -> reloaded(anew));
+        } catch (Configuration.Bad e) {
+            LOG.log(Level.WARNING, "the configuration stays as it was: {0}", e.getMessage());
+        }
+    }
+
+    /** The list, the open queries and what the module knows stay; settings in the store go before the file's. */
+    private void reloaded(Configuration anew) {
+        try {
+            Configuration held = shared.configuration();
+            Configuration to = held.with(anew);
+            adopt(shared.setup().operator().store() == null ? to
+                    : to.with("settings", held.settings().toString()));
+            lane.limit(shared.configuration().sockets());
+            if (watch != null) {
+                watch.follow(shared.configuration().discovery());
+            }
+            turns.counters.add("reloads");
+            LOG.info("the configuration was read anew");
+        } catch (Configuration.Bad e) {
+            LOG.log(Level.WARNING, "the configuration stays as it was: {0}", e.getMessage());
+        }
+    }
+
+    private void drain() {
+        if (!shared.draining()) {
+            LOG.info("shutting down: serving until all is answered");
+            shared.drain();
+            lane.drain();
+        }
+    }
+
+    // ---- sockets
+
+    /** On the platform, and wherever no members are named: alone and in memory, without a socket. */
+    private Store store(OperatorFile.Replicated r) throws IOException {
+        if (r == null) {
+            return new MemoryStore(shared.configuration().name());
+        }
+        ReplicatedStore store = new ReplicatedStore(turns.loop, lane.out, turns.deadlines, turns.clock, r.member(),
+                r.directory(), r.peers());
+        turns.bound(store.start(new ServerBootstrap().group(turns.loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true), r.peers().get(r.member())), r.peers().get(r.member()));
+        return store;
+    }
+
+    private void listen(String what, InetSocketAddress at, Consumer<Channel> taker) throws IOException {
+        ChannelFuture bound = new ServerBootstrap().group(turns.loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 512)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        taker.accept(c);
+                    }
+                }).bind(at);
+        turns.bound(bound, at);
+        LOG.log(Level.INFO, "{0} serves {1} at {2}", new Object[] {shared.configuration().name(), what,
+            NetUtil.toSocketAddressString((InetSocketAddress) bound.channel().localAddress())});
+        listeners.add(bound.channel());
+    }
+}
--- a/src/main/java/burlford/OperatorFile.java
+++ b/coordinator/src/main/java/burlford/daemon/OperatorFile.java
@@ -1,4 +1,4 @@
-package burlford;
+package burlford.daemon;
 
 import burlford.core.Site;
 import burlford.search.Index;
--- a/src/main/java/burlford/Records.java
+++ b/coordinator/src/main/java/burlford/daemon/Records.java
@@ -1,10 +1,10 @@
-package burlford;
+package burlford.daemon;
 
-import burlford.Aggregator.ListKind;
-import burlford.core.Coordinator;
 import burlford.core.Deadlines;
 import burlford.core.ReaderEntry;
+import burlford.core.Roster;
 import burlford.inventory.Inventory;
+import burlford.policy.Aggregator.ListKind;
 import burlford.store.Store;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -31,7 +31,7 @@
             ReaderEntry.class);
 
     private final Store store;
-    private final Coordinator coordinator;
+    private final Roster roster;
     private final Deadlines deadlines;
     private final Settings settings;
     private final boolean fromStore;
@@ -48,9 +48,9 @@
     }
 
     /** fromStore: the inventory in the store is the list of readers. */
-    Records(Store store, Coordinator coordinator, Deadlines deadlines, Settings settings, boolean fromStore) {
+    Records(Store store, Roster roster, Deadlines deadlines, Settings settings, boolean fromStore) {
         this.store = store;
-        this.coordinator = coordinator;
+        this.roster = roster;
         this.deadlines = deadlines;
         this.settings = settings;
         this.fromStore = fromStore;
@@ -58,14 +58,14 @@
 
     void start() {
         store.watch(this::written);
-        coordinator.onListed(this::keep);
+        roster.onListed(this::keep);
         look();
     }
 
     /** Who leads changes without a word to us; now and then is soon enough to take over its writing. */
     private void look() {
         keep();
-        deadlines.at(coordinator.now() + LOOK, this::look);
+        deadlines.at(roster.now() + LOOK, this::look);
     }
 
     /** Why a value may not stand under a key; null where it may. */
@@ -85,7 +85,7 @@
     }
 
     private Inventory inventory(String text) throws Inventory.Bad, IOException {
-        return Inventory.read(text, Inventory.isCsv(text), coordinator.site().cells());
+        return Inventory.read(text, Inventory.isCsv(text), roster.site().cells());
     }
 
     private void written(String key, Store.Entry entry) {
@@ -96,9 +96,9 @@
             if (key.equals(CONFIGURATION)) {
                 settings.apply(entry.value());
             } else if (key.equals(INVENTORY) && fromStore) {
-                coordinator.listed(ListKind.WHOLE, inventory(entry.value()).entries());
-            } else if (key.equals(READERS) && coordinator.readers().isEmpty()) {
-                coordinator.listed(ListKind.CACHED, JSON.readValue(entry.value(), ENTRIES));
+                roster.listed(ListKind.WHOLE, inventory(entry.value()).entries());
+            } else if (key.equals(READERS) && roster.readers().isEmpty()) {
+                roster.listed(ListKind.CACHED, JSON.readValue(entry.value(), ENTRIES));
             }
         } catch (Configuration.Bad | Inventory.Bad | IOException e) {
             LOG.log(Level.WARNING, "store: {0} cannot be used: {1}", new Object[] {key, e.getMessage()});
@@ -118,8 +118,8 @@
             if (store.get(CONFIGURATION) == null) {
                 put(CONFIGURATION, settings.own());
             }
-            if (!writing && !coordinator.readers().isEmpty()) {
-                put(READERS, JSON.writeValueAsString(coordinator.readers()));
+            if (!writing && !roster.readers().isEmpty()) {
+                put(READERS, JSON.writeValueAsString(roster.readers()));
             }
         } catch (JsonProcessingException e) {
             throw new IllegalStateException(e);
--- /dev/null
+++ b/coordinator/src/main/java/burlford/daemon/Turns.java
@@ -0,0 +1,65 @@
+package burlford.daemon;
+
+import burlford.core.Counters;
+import burlford.core.Deadlines;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ManualIoEventLoop;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * One event loop, turned by hand on one thread: each turn waits for the network no longer than until the next
+ * deadline, and sweeps the deadlines after it.
+ */
+final class Turns {
+
+    private static final Logger LOG = Logger.getLogger(Turns.class.getName());
+    private static final long LONGEST_TURN = 1_000_000;
+
+    final ManualIoEventLoop loop;
+    final Deadlines deadlines = new Deadlines();
+    final Counters counters = new Counters();
+    final LongSupplier clock;
+
+    /** thread: the one that turns it; null: the first that does. clock: microseconds. */
+    Turns(Thread thread, LongSupplier clock) {
+        this.loop = new ManualIoEventLoop(thread, NioIoHandler.newFactory());
+        this.clock = clock;
+    }
+
+    long now() {
+        return clock.getAsLong();
+    }
+
+    void turn() {
+        long next = Math.min(deadlines.next() - now(), LONGEST_TURN);
+        // A wait of nought would be one without end: what is due already must not wait for the network.
+        if (next > 0) {
+            loop.run(TimeUnit.MICROSECONDS.toNanos(next));
+        } else {
+            loop.runNow();
+        }
+        try {
+            deadlines.sweep(now());
+        } catch (RuntimeException e) {
+            // Of one query or peer, most likely: the others must not go down with it.
+            counters.add("faults");
+            LOG.log(Level.SEVERE, "a deadline's action failed", e);
+        }
+    }
+
+    /** Turns until a listener is bound. */
+    void bound(ChannelFuture binding, SocketAddress at) throws IOException {
+        while (!binding.isDone()) {
+            loop.run(TimeUnit.MILLISECONDS.toNanos(10));
+        }
+        if (!binding.isSuccess()) {
+            throw new IOException("cannot listen at " + at + ": " + binding.cause().getMessage());
+        }
+    }
+}
--- a/src/main/java/burlford/discovery/ListReader.java
+++ b/coordinator/src/main/java/burlford/discovery/ListReader.java
@@ -1,7 +1,7 @@
 package burlford.discovery;
 
-import burlford.Aggregator.Status;
 import burlford.core.ReaderEntry;
+import burlford.policy.Aggregator.Status;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.util.NetUtil;
 import java.util.ArrayList;
--- a/src/main/java/burlford/discovery/Watch.java
+++ b/coordinator/src/main/java/burlford/discovery/Watch.java
@@ -1,8 +1,8 @@
 package burlford.discovery;
 
-import burlford.Aggregator.ListKind;
-import burlford.core.Coordinator;
 import burlford.core.Deadlines;
+import burlford.core.Roster;
+import burlford.policy.Aggregator.ListKind;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
@@ -45,7 +45,7 @@
 
     private final Bootstrap bootstrap;
     private InetSocketAddress address;
-    private final Coordinator coordinator;
+    private final Roster roster;
     private final Deadlines deadlines;
     private final ObjectMapper json = new ObjectMapper();
     private long revision = -1;
@@ -56,10 +56,10 @@
     private Deadlines.Deadline opening;
     private boolean stopped;
 
-    public Watch(Bootstrap bootstrap, InetSocketAddress address, Coordinator coordinator, Deadlines deadlines) {
+    public Watch(Bootstrap bootstrap, InetSocketAddress address, Roster roster, Deadlines deadlines) {
         this.bootstrap = bootstrap;
         this.address = address;
-        this.coordinator = coordinator;
+        this.roster = roster;
         this.deadlines = deadlines;
     }
 
@@ -67,7 +67,7 @@
     public void start(ListReader.Listing known) {
         if (known != null) {
             revision = known.revision();
-            coordinator.listed(ListKind.CACHED, known.entries());
+            roster.listed(ListKind.CACHED, known.entries());
         }
         fetch = known == null;
         open();
@@ -115,7 +115,7 @@
                 DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
                 get.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
                 opened.writeAndFlush(get);
-                coordinator.counters().add("discovery.connections");
+                roster.counters().add("discovery.connections");
             } else {
                 LOG.log(Level.WARNING, "discovery: {0}", String.valueOf(f.cause().getMessage()));
             }
@@ -131,7 +131,7 @@
     private void again() {
         deadlines.cancel(silence);
         if (!stopped) {
-            opening = deadlines.at(coordinator.now() + wait, this::open);
+            opening = deadlines.at(roster.now() + wait, this::open);
             wait = Math.min(LONGEST_WAIT, wait * 2);
         }
     }
@@ -139,7 +139,7 @@
     private void heard() {
         deadlines.cancel(silence);
         Channel c = channel;
-        silence = deadlines.at(coordinator.now() + SILENCE, c::close);
+        silence = deadlines.at(roster.now() + SILENCE, c::close);
     }
 
     private void line(String line) {
@@ -147,16 +147,16 @@
         if (line.isBlank()) {
             return;
         }
-        coordinator.counters().add("discovery.lines");
+        roster.counters().add("discovery.lines");
         try {
-            ListReader.Listing l = ListReader.read(json.readTree(line), coordinator.site().cells());
+            ListReader.Listing l = ListReader.read(json.readTree(line), roster.site().cells());
             revision = l.revision();
             wait = FIRST_WAIT;
             fetch &= !l.complete();
-            coordinator.listed(l.complete() ? ListKind.WHOLE : ListKind.CHANGES, l.entries());
+            roster.listed(l.complete() ? ListKind.WHOLE : ListKind.CHANGES, l.entries());
         } catch (ListReader.BadList | JsonProcessingException e) {
             // The last list stays. What the line said is lost, so the whole list is fetched over again.
-            coordinator.counters().add("discovery.lines.bad");
+            roster.counters().add("discovery.lines.bad");
             String why = e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage();
             LOG.log(Level.WARNING, "discovery: bad line: {0}", why);
             fetch = true;
--- a/src/main/java/burlford/inventory/Inventory.java
+++ b/coordinator/src/main/java/burlford/inventory/Inventory.java
@@ -1,7 +1,7 @@
 package burlford.inventory;
 
-import burlford.Aggregator.Status;
 import burlford.core.ReaderEntry;
+import burlford.policy.Aggregator.Status;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.nio.file.Files;
--- a/src/main/java/burlford/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -1,14 +1,14 @@
-package burlford;
+package burlford.policy;
 
-import static burlford.Measure.follow;
-import static burlford.Measure.kept;
+import static burlford.policy.Measure.follow;
+import static burlford.policy.Measure.kept;
 
-import burlford.Measure.Line;
-import burlford.Measure.Tally;
-import burlford.State.Attempt;
-import burlford.State.Part;
-import burlford.State.Query;
-import burlford.State.Server;
+import burlford.policy.Measure.Line;
+import burlford.policy.Measure.Tally;
+import burlford.policy.State.Attempt;
+import burlford.policy.State.Part;
+import burlford.policy.State.Query;
+import burlford.policy.State.Server;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/src/main/java/burlford/Measure.java
+++ b/coordinator/src/main/java/burlford/policy/Measure.java
@@ -1,4 +1,4 @@
-package burlford;
+package burlford.policy;
 
 /** Arithmetic the module measures with: no decision and no tuned value, all figures are the caller's. */
 final class Measure {
--- a/src/main/java/burlford/State.java
+++ b/coordinator/src/main/java/burlford/policy/State.java
@@ -1,4 +1,4 @@
-package burlford;
+package burlford.policy;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
--- a/src/main/java/burlford/search/SearchFront.java
+++ b/coordinator/src/main/java/burlford/search/SearchFront.java
@@ -1,13 +1,13 @@
 package burlford.search;
 
-import burlford.Aggregator.Status;
-import burlford.Dispatcher;
 import burlford.clients.Exchange;
 import burlford.clients.HttpConnection;
 import burlford.core.Client;
 import burlford.core.Coordinator;
 import burlford.core.Query;
 import burlford.core.ReaderEntry;
+import burlford.policy.Aggregator.Status;
+import burlford.policy.Dispatcher;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
--- /dev/null
+++ b/coordinator/src/main/java/burlford/search/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The OpenSearch-style front. May use {@code clients}, {@code core} and {@code policy}.
+ */
+package burlford.search;
--- a/src/main/java/burlford/servers/ReaderConnection.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderConnection.java
@@ -1,9 +1,9 @@
 package burlford.servers;
 
-import burlford.Aggregator.Outcome;
 import burlford.core.Call;
 import burlford.core.Deadlines;
 import burlford.core.ReaderEntry;
+import burlford.policy.Aggregator.Outcome;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
--- a/src/main/java/burlford/servers/ReaderPool.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderPool.java
@@ -1,6 +1,5 @@
 package burlford.servers;
 
-import burlford.Aggregator.Outcome;
 import burlford.core.Call;
 import burlford.core.Coordinator;
 import burlford.core.Counters;
@@ -8,6 +7,7 @@
 import burlford.core.ReaderEntry;
 import burlford.core.Readers;
 import burlford.core.Site;
+import burlford.policy.Aggregator.Outcome;
 import io.netty.bootstrap.Bootstrap;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/burlford/adapter/Settings.java
+++ b/coordinator/src/main/java/burlford/settings/Settings.java
@@ -1,6 +1,6 @@
-package burlford.adapter;
+package burlford.settings;
 
-import burlford.Aggregator;
+import burlford.policy.Aggregator;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/burlford/adapter/WireTest.java
+++ b/coordinator/src/test/java/burlford/adapter/WireTest.java
@@ -6,7 +6,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import burlford.Aggregator;
+import burlford.policy.Aggregator;
+import burlford.settings.BadInput;
+import burlford.settings.Settings;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/src/test/java/burlford/inventory/InventoryTest.java
+++ b/coordinator/src/test/java/burlford/inventory/InventoryTest.java
@@ -3,8 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import burlford.Aggregator.Status;
 import burlford.core.ReaderEntry;
+import burlford.policy.Aggregator.Status;
 import java.io.IOException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/src/test/java/burlford/DefenceTest.java
+++ b/coordinator/src/test/java/burlford/policy/DefenceTest.java
@@ -1,18 +1,18 @@
-package burlford;
+package burlford.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import burlford.Aggregator.Action;
-import burlford.Aggregator.Event;
-import burlford.Aggregator.Listed;
-import burlford.Aggregator.Outcome;
-import burlford.Aggregator.Probe;
-import burlford.Aggregator.Probed;
-import burlford.Aggregator.Refuse;
-import burlford.Aggregator.Send;
-import burlford.Aggregator.Status;
+import burlford.policy.Aggregator.Action;
+import burlford.policy.Aggregator.Event;
+import burlford.policy.Aggregator.Listed;
+import burlford.policy.Aggregator.Outcome;
+import burlford.policy.Aggregator.Probe;
+import burlford.policy.Aggregator.Probed;
+import burlford.policy.Aggregator.Refuse;
+import burlford.policy.Aggregator.Send;
+import burlford.policy.Aggregator.Status;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/burlford/DispatcherTest.java
+++ b/coordinator/src/test/java/burlford/policy/DispatcherTest.java
@@ -1,10 +1,10 @@
-package burlford;
+package burlford.policy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import burlford.Aggregator.ListKind;
-import burlford.Aggregator.Outcome;
-import burlford.Aggregator.Status;
+import burlford.policy.Aggregator.ListKind;
+import burlford.policy.Aggregator.Outcome;
+import burlford.policy.Aggregator.Status;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/burlford/EmbeddingTest.java
+++ b/coordinator/src/test/java/burlford/policy/EmbeddingTest.java
@@ -1,4 +1,4 @@
-package burlford;
+package burlford.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/burlford/Fixture.java
+++ b/coordinator/src/test/java/burlford/policy/Fixture.java
@@ -1,7 +1,7 @@
-package burlford;
+package burlford.policy;
 
-import burlford.Aggregator.Action;
-import burlford.Aggregator.Event;
+import burlford.policy.Aggregator.Action;
+import burlford.policy.Aggregator.Event;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/burlford/RulesTest.java
+++ b/coordinator/src/test/java/burlford/policy/RulesTest.java
@@ -1,21 +1,21 @@
-package burlford;
+package burlford.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import burlford.Aggregator.Action;
-import burlford.Aggregator.Answer;
-import burlford.Aggregator.Cancel;
-import burlford.Aggregator.Event;
-import burlford.Aggregator.Fail;
-import burlford.Aggregator.Listed;
-import burlford.Aggregator.Outcome;
-import burlford.Aggregator.Refuse;
-import burlford.Aggregator.Send;
-import burlford.Aggregator.Status;
-import burlford.Aggregator.WatchList;
+import burlford.policy.Aggregator.Action;
+import burlford.policy.Aggregator.Answer;
+import burlford.policy.Aggregator.Cancel;
+import burlford.policy.Aggregator.Event;
+import burlford.policy.Aggregator.Fail;
+import burlford.policy.Aggregator.Listed;
+import burlford.policy.Aggregator.Outcome;
+import burlford.policy.Aggregator.Refuse;
+import burlford.policy.Aggregator.Send;
+import burlford.policy.Aggregator.Status;
+import burlford.policy.Aggregator.WatchList;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/src/test/java/burlford/ScoreTest.java
+++ b/coordinator/src/test/java/burlford/policy/ScoreTest.java
@@ -1,12 +1,12 @@
-package burlford;
+package burlford.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import burlford.Aggregator.Event;
-import burlford.Aggregator.Outcome;
-import burlford.Aggregator.Probed;
-import burlford.Aggregator.Send;
+import burlford.policy.Aggregator.Event;
+import burlford.policy.Aggregator.Outcome;
+import burlford.policy.Aggregator.Probed;
+import burlford.policy.Aggregator.Send;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/burlford/SizeTest.java
+++ b/coordinator/src/test/java/burlford/policy/SizeTest.java
@@ -1,4 +1,4 @@
-package burlford;
+package burlford.policy;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,7 +13,7 @@
 
     @Test
     void moduleFitsTheLimits() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/burlford/Decide.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/burlford/policy/Decide.java"));
         long count = lines.stream().filter(l -> !l.isBlank()).count();
         assertTrue(count <= 1010, "the module has " + count + " lines");
         for (String line : lines) {
