--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -10,6 +10,7 @@
 import burlford.policy.Dispatcher.Send;
 import burlford.policy.Word;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -72,6 +73,8 @@
     private final Map<String, Deadlines.Deadline> joined = new HashMap<>();
     private long endBy = Long.MAX_VALUE;
     private boolean abandoned;
+    /** Queries may be open under settings that are no longer in force. */
+    private boolean older;
 
     public Coordinator(Site site, Dispatcher dispatcher, Commons commons, Deadlines deadlines, Counters counters,
             LongSupplier clock) {
@@ -94,13 +97,18 @@
     public void reconfigure(Site to, Dispatcher by) {
         site = to;
         dispatcher = by;
+        older = true;
         told(ListKind.CACHED, readers());
     }
 
     /** The present dispatcher, and those of queries that are still open. */
-    private Set<Dispatcher> dispatchers() {
+    private Collection<Dispatcher> dispatchers() {
+        if (!older) {
+            return List.of(dispatcher);
+        }
         Set<Dispatcher> all = new LinkedHashSet<>(List.of(dispatcher));
         queries.values().forEach(o -> all.add(o.dispatcher));
+        older = all.size() > 1;
         return all;
     }
 
@@ -223,6 +231,7 @@
     public void probed(String reader, Outcome outcome, long sentAt, double[] load) {
         catchUp();
         counters.add("probes." + outcome.name().toLowerCase());
+        deadlines.cancel(joined.remove(reader));
         long elapsed = elapsed(sentAt);
         double[] fresh = stale() ? NO_LOAD : load;
         commons.say(new Word.Probed(reader, outcome, now(), elapsed, fresh));
--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -12,7 +12,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -127,6 +126,7 @@
     private long rounds;
     private long now = NEVER;
     private long alarmAt = NEVER;
+    private long expireAt = NEVER;
     private long listCallAt = NEVER;
     private int listFailures;
     private boolean hadList;
@@ -197,7 +197,7 @@
             servers.get(e.replica()).probedAt = Math.max(servers.get(e.replica()).probedAt, e.at());
             probed(e.replica(), e.outcome(), e.at(), e.elapsed(), e.report());
         } else if (event instanceof PeersLost) {
-            servers.values().forEach(s -> s.theirs.clear());
+            servers.values().forEach(s -> List.copyOf(s.theirs.keySet()).forEach(a -> forget(s, a)));
         }
     }
 
@@ -409,14 +409,14 @@
      */
     static double load(Server s) {
         double load = s.reportAt == NEVER || Double.isNaN(s.reportedQueue) ? 0 : s.reportedQueue;
-        return plus(s, s.theirs.values(), plus(s, s.out, load));
+        for (Attempt a : s.out) {
+            load += inLoad(a);
+        }
+        return load + s.theirLoad;
     }
 
-    private static double plus(Server s, Collection<Attempt> out, double load) {
-        for (Attempt a : out) {
-            load += a.sentAt >= s.reportAt ? a.weight : Double.isNaN(s.reportedQueue) ? 1 : 0;
-        }
-        return load;
+    private static double inLoad(Attempt a) {
+        return a.sentAt >= a.server.reportAt ? a.weight : Double.isNaN(a.server.reportedQueue) ? 1 : 0;
     }
 
     /**
@@ -434,7 +434,6 @@
      * one below what we have out there (late, or from a server that errs) counts no less than that.
      */
     private double believed(Server s) {
-        s.theirs.values().removeIf(a -> a.until <= now);
         double load = load(s) - s.endedSince;
         if (s.reportAt != NEVER && !Double.isNaN(s.reportedQueue)) {
             load += (usualQueue - s.reportedQueue + s.endedSince) * (1 - kept(s.reportAt, now, REPORT_LIFE));
@@ -719,6 +718,7 @@
         s.reportAt = at;
         s.endedSince = 0;
         s.reportedQueue = Double.isFinite(queue) && queue >= 0 ? queue : Double.NaN;
+        s.theirLoad = s.theirs.values().stream().mapToDouble(Decide::inLoad).sum();
         usualQueue += DRIFT * (Double.isNaN(s.reportedQueue) ? 0 : queue - usualQueue);
     }
 
@@ -802,6 +802,7 @@
         if (s == null || e.queryClass() >= scale.length) {
             return;
         }
+        expire(s);
         Attempt a = new Attempt();
         a.part = new Part();
         a.part.query = new Query();
@@ -816,12 +817,26 @@
         a.loadAtSend = believed(s);
         a.expected = expected(s, e.queryClass());
         s.theirs.put(e.attempt(), a);
+        s.theirLoad += inLoad(a);
+    }
+
+    /** Those whose ends were not heard of. They come about in order of time: only the first are looked at. */
+    private void expire(Server s) {
+        while (!s.theirs.isEmpty() && s.theirs.values().iterator().next().until <= now) {
+            forget(s, s.theirs.keySet().iterator().next());
+        }
+    }
+
+    private Attempt forget(Server s, long attempt) {
+        Attempt a = s.theirs.remove(attempt);
+        s.theirLoad = s.theirs.isEmpty() ? 0 : s.theirLoad - (a == null ? 0 : inLoad(a));
+        return a;
     }
 
     /** Its report counts from its time. What is older than reports last is no news of its server. */
     private void peerEnd(PeerEnd e) {
         Server s = servers.get(e.replica());
-        Attempt a = s == null ? null : s.theirs.remove(e.attempt());
+        Attempt a = s == null ? null : forget(s, e.attempt());
         if (a != null) {
             s.endedSince += a.sentAt < s.reportAt ? 1 : 0;
             report(s, e.report(), e.at());
@@ -841,6 +856,10 @@
     // ---- looking after open queries
 
     private void review() {
+        if (now >= expireAt) {
+            expireAt = now + TICK;
+            servers.values().forEach(this::expire);
+        }
         // A query is looked at when something of it came in, else once a tick: looks at many parts cost CPU.
         queries.values().stream().filter(q -> now >= q.lookAt).toList().forEach(this::finish);
         List<Part> waiting = new ArrayList<>();
--- a/coordinator/src/main/java/burlford/policy/Dispatcher.java
+++ b/coordinator/src/main/java/burlford/policy/Dispatcher.java
@@ -203,7 +203,8 @@
 
     /** That of a reader that may be gone; it is not numbered anew. */
     private long known(String reader) {
-        return numbers.getOrDefault(reader, hash(reader));
+        Long known = numbers.get(reader);
+        return known == null ? hash(reader) : known;
     }
 
     /** Readers by name that are held; no more than are listed, however many came and went. */
--- a/coordinator/src/main/java/burlford/policy/State.java
+++ b/coordinator/src/main/java/burlford/policy/State.java
@@ -24,6 +24,8 @@
         final List<Attempt> out = new ArrayList<>();
         /** What other instances of this process have out there, by their attempts' ids. */
         final Map<Long, Attempt> theirs = new LinkedHashMap<>();
+        /** What those add to its load counter; kept, since there may be many and it is asked for often. */
+        double theirLoad;
         double slowLog;
         long slowAt = Decide.NEVER;
         /** Outcomes by class, and under no class those of probes. */
--- a/lab/src/main/java/burlford/lab/CoresCommand.java
+++ b/lab/src/main/java/burlford/lab/CoresCommand.java
@@ -47,8 +47,11 @@
     private String only;
     @Option(names = "--service-us", defaultValue = "1000", description = "mean time a part takes at a reader")
     private long service;
-    @Option(names = "--java-options", split = " ", defaultValue = "-XX:+UseSerialGC -Xms384m -Xmx384m")
+    @Option(names = "--java-options", split = " ", defaultValue = "-XX:+UseParallelGC -Xms512m -Xmx512m -Xmn320m")
     private List<String> javaOptions;
+    @Option(names = "--separate", description = "in place of lanes so many coordinators, which share nothing: what the "
+            + "machine gives at most")
+    private boolean separate;
     @Option(names = "--seed", defaultValue = "1")
     private long seed;
 
@@ -60,16 +63,17 @@
         oneLane = rate;
         ObjectNode file = json.createObjectNode();
         ArrayNode runs = file.putArray("runs");
-        System.out.printf("%-6s %10s %8s %8s %8s %8s %8s %9s %9s %7s %7s %6s %6s %6s%n", "lanes", "answered/s", "p50 ms",
-                "p99 ms", "p50 xN", "p99 xN", "cores", "refused", "probes/p", "2copies", "over", "lost", "wrong",
+        System.out.printf("%-6s %10s %8s %8s %8s %8s %8s %7s %9s %9s %7s %7s %6s %6s %6s%n", "lanes", "answered/s", "p50 ms",
+                "p99 ms", "p50 xN", "p99 xN", "cores", "others", "refused", "probes/p", "2copies", "over", "lost", "wrong",
                 "rss MB");
         boolean broken = false;
         for (int n : lanes) {
             ObjectNode run = run(n);
             runs.add(run);
-            System.out.printf(Locale.ROOT, "%-6d %10.0f %8.2f %8.2f %8.2f %8.2f %8.2f %9d %9.3f %7d %7d %6d %6d %6.0f%n", n,
+            System.out.printf(Locale.ROOT, "%-6d %10.0f %8.2f %8.2f %8.2f %8.2f %8.2f %7.2f %9d %9.3f %7d %7d %6d %6d %6.0f%n", n,
                     run.path("throughput").asDouble(), run.path("p50_ms").asDouble(), run.path("p99_ms").asDouble(),
                     run.path("p50_each_ms").asDouble(), run.path("p99_each_ms").asDouble(), run.path("cpu_cores").asDouble(),
+                    run.path("readers_cores").asDouble() + run.path("load_cores").asDouble(),
                     run.path("refused").asLong(), run.path("probes_per_part").asDouble(),
                     run.path("second_copies").asLong(), run.path("over_limit").asLong(), run.path("lost").asLong(),
                     run.path("wrong").asLong(), run.path("rss_mb").asDouble());
@@ -87,12 +91,22 @@
         Path work = Files.createTempDirectory("burlford-lab");
         try (Started readers = readers(work)) {
             JsonNode addresses = json.readTree(readers.line());
-            try (Started coordinator = coordinator(work, n, addresses)) {
-                int port = Integer.parseInt(coordinator.await(work.resolve("coordinator.log"),
-                        "serves platform at 127\\.0\\.0\\.1:(\\d+)"));
-                ObjectNode run = measure(n, port, readers, coordinator);
-                Files.writeString(work.resolve("counters"), coordinator.stop());
+            List<Started> coordinators = new ArrayList<>();
+            try {
+                List<Integer> ports = new ArrayList<>();
+                for (int i = 0; i < (separate ? n : 1); i++) {
+                    Path log = work.resolve("coordinator-" + i + ".log");
+                    Started c = coordinator(work, separate ? 1 : n, addresses, log);
+                    coordinators.add(c);
+                    ports.add(Integer.parseInt(c.await(log, "serves platform at 127\\.0\\.0\\.1:(\\d+)")));
+                }
+                ObjectNode run = measure(n, ports, readers, coordinators);
+                for (Started c : coordinators) {
+                    c.stop();
+                }
                 return run;
+            } finally {
+                coordinators.forEach(Started::close);
             }
         } finally {
             try (var files = Files.list(work)) {
@@ -104,17 +118,23 @@
         }
     }
 
-    private ObjectNode measure(int n, int port, Started readers, Started coordinator) throws Exception {
+    private ObjectNode measure(int n, List<Integer> port, Started readers, List<Started> coordinators) throws Exception {
         Load.Result all = new Load.Result();
         all.add(Load.run(plan(port, connections * n, 0, seconds / 2, seed * 100 + 1))); // warms both
         ObjectNode run = json.createObjectNode().put("lanes", n);
         JsonNode before = json.readTree(readers.ask("audit"));
-        double cpu = coordinator.cpuSeconds();
+        double cpu = cpu(coordinators);
+        double readersCpu = readers.cpuSeconds();
+        double loadCpu = Started.ownCpuSeconds();
         Load.Result full = Load.run(plan(port, connections * n, 0, seconds, seed * 100 + 2));
         JsonNode after = json.readTree(readers.ask("audit"));
         all.add(full);
         run.put("throughput", full.throughput()).put("saturated_p50_ms", full.ms(50)).put("saturated_p99_ms", full.ms(99));
-        run.put("cpu_cores", (coordinator.cpuSeconds() - cpu) / seconds);
+        // Of what was measured and of what measures: where the sum nears the machine's cores, that is the bound.
+        double took = seconds + Load.WARM;
+        run.put("cpu_cores", (cpu(coordinators) - cpu) / took)
+                .put("readers_cores", (readers.cpuSeconds() - readersCpu) / took)
+                .put("load_cores", (Started.ownCpuSeconds() - loadCpu) / took);
         run.put("probes_per_part", (after.path("probes").asDouble() - before.path("probes").asDouble())
                 / Math.max(1, after.path("parts").asDouble() - before.path("parts").asDouble()));
         oneLane = oneLane == 0 ? full.throughput() / n : oneLane;
@@ -138,10 +158,22 @@
         run.put("parts", audit.path("parts").asLong()).put("further", audit.path("further").asLong());
         run.put("second_copies", audit.path("second_copies").asLong()).put("over_limit", audit.path("over_limit").asLong())
                 .put("wrong_shard", audit.path("wrong_shard").asLong()).put("double_probes", audit.path("double_probes").asLong());
-        return run.put("rss_mb", coordinator.rssMb());
+        double rss = 0;
+        for (Started c : coordinators) {
+            rss += c.rssMb();
+        }
+        return run.put("rss_mb", rss);
+    }
+
+    private static double cpu(List<Started> coordinators) throws IOException {
+        double sum = 0;
+        for (Started c : coordinators) {
+            sum += c.cpuSeconds();
+        }
+        return sum;
     }
 
-    private Load.Plan plan(int port, int clients, double perSecond, double time, long withSeed) {
+    private Load.Plan plan(List<Integer> port, int clients, double perSecond, double time, long withSeed) {
         return new Load.Plan(port, clients, perSecond, time, most, 4000, 4, 2, withSeed);
     }
 
@@ -155,7 +187,7 @@
         return new Started(command, Map.of(), work.resolve("readers.log"));
     }
 
-    private Started coordinator(Path work, int n, JsonNode addresses) throws IOException {
+    private Started coordinator(Path work, int n, JsonNode addresses, Path log) throws IOException {
         StringBuilder inventory = new StringBuilder("id,ansible_host,ansible_port,cell\n");
         for (int i = 0; i < addresses.size(); i++) {
             inventory.append("r").append(i).append(",127.0.0.1,").append(addresses.get(i).path("port").asInt()).append(',')
@@ -171,6 +203,6 @@
         command.addAll(javaOptions);
         command.addAll(List.of("-jar", jar.toString(), "serve", "--operator", work.resolve("operator.yaml").toString()));
         return new Started(command, Map.of("PROXY_CONFIG", work.resolve("configuration.json").toString()),
-                work.resolve("coordinator.log"));
+                log);
     }
 }
--- a/lab/src/main/java/burlford/lab/Load.java
+++ b/lab/src/main/java/burlford/lab/Load.java
@@ -20,6 +20,7 @@
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -33,8 +34,11 @@
     /** A client that hears nothing for so long beyond its deadline has lost its query. */
     private static final long LOST = 2_000_000_000L;
 
-    /** rate: queries a second, 0: closed. most: queries at most. */
-    record Plan(int port, int connections, double rate, double seconds, long most, int deadlineMs, int shards,
+    /** What begins in the first second tells of connections that are new, and does not count in times and rates. */
+    static final double WARM = 1;
+
+    /** rate: queries a second, 0: closed. most: queries at most. seconds: those that count. ports: clients go to them in turn. */
+    record Plan(List<Integer> ports, int connections, double rate, double seconds, long most, int deadlineMs, int shards,
             int threads, long seed) { }
 
     /** What came of it: counts, and the times in microseconds of those answered. */
@@ -46,6 +50,8 @@
         long lost;
         long wrong;
         long bad;
+        /** Answered within the seconds that count. */
+        long counted;
         double seconds;
         final Histogram micros = new Histogram(60_000_000, 3);
 
@@ -57,11 +63,12 @@
             lost += r.lost;
             wrong += r.wrong;
             bad += r.bad;
+            counted += r.counted;
             micros.add(r.micros);
         }
 
         double throughput() {
-            return answered / seconds;
+            return counted / seconds;
         }
 
         double ms(double percentile) {
@@ -75,9 +82,9 @@
         MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(plan.threads(), NioIoHandler.newFactory());
         List<Driver> drivers = new ArrayList<>();
         CountDownLatch over = new CountDownLatch(plan.threads());
-        long start = System.nanoTime();
+        AtomicInteger connecting = new AtomicInteger(plan.connections());
         for (int i = 0; i < plan.threads(); i++) {
-            Driver d = new Driver(plan, i, over, start);
+            Driver d = new Driver(plan, i, over, connecting);
             drivers.add(d);
             d.loop = loops.next();
             d.loop.execute(d::begin);
@@ -95,42 +102,56 @@
         private final Plan plan;
         private final int index;
         private final CountDownLatch over;
-        private final long start;
+        private final AtomicInteger connecting;
         private final Random random;
         private final Result result = new Result();
         private final ArrayDeque<Client> free = new ArrayDeque<>();
         private final ArrayDeque<Long> due = new ArrayDeque<>();
         private final List<Client> clients = new ArrayList<>();
         private io.netty.channel.EventLoop loop;
+        /** When the stream began: once all clients of all drivers were connected; 0: not yet. */
+        private long start;
         private long nextDue;
         private long number;
         private boolean ended;
 
-        Driver(Plan plan, int index, CountDownLatch over, long start) {
+        Driver(Plan plan, int index, CountDownLatch over, AtomicInteger connecting) {
             this.plan = plan;
             this.index = index;
             this.over = over;
-            this.start = start;
+            this.connecting = connecting;
             this.random = new Random(plan.seed() * 31 + index);
-            this.nextDue = start;
         }
 
         void begin() {
             int mine = plan.connections() / plan.threads() + (index < plan.connections() % plan.threads() ? 1 : 0);
             for (int i = 0; i < mine; i++) {
-                clients.add(new Client(this));
+                clients.add(new Client(this, plan.ports().get(i % plan.ports().size())));
             }
             clients.forEach(Client::connect);
             tick();
         }
 
         boolean goesOn() {
-            return System.nanoTime() - start < plan.seconds() * 1e9 && result.sent < plan.most() / plan.threads();
+            return System.nanoTime() - start < (WARM + plan.seconds()) * 1e9 && result.sent < plan.most() / plan.threads();
         }
 
         /** Every millisecond: what is due now, and whether clients wait in vain. */
         void tick() {
             long now = System.nanoTime();
+            if (start == 0) {
+                if (connecting.get() > 0) {
+                    loop.schedule(this::tick, 1, TimeUnit.MILLISECONDS);
+                    return;
+                }
+                start = now;
+                nextDue = now;
+                if (plan.rate() == 0) {
+                    List<Client> all = List.copyOf(free);
+                    free.clear();
+                    all.forEach(this::free);
+                }
+            }
             if (plan.rate() > 0 && goesOn()) {
                 double each = 1e9 * plan.threads() / plan.rate();
                 while (nextDue <= now) {
@@ -155,7 +176,9 @@
         }
 
         void free(Client c) {
-            if (plan.rate() == 0) {
+            if (start == 0) {
+                free.add(c);
+            } else if (plan.rate() == 0) {
                 if (goesOn()) {
                     c.ask(System.nanoTime());
                 }
@@ -183,6 +206,7 @@
     /** One connection of a client: one query at a time. */
     private static final class Client extends ChannelInboundHandlerAdapter {
         private final Driver driver;
+        private final int port;
         private final StringBuilder came = new StringBuilder();
         private Channel channel;
         private boolean asked;
@@ -190,9 +214,11 @@
         private byte[] request;
         private long askedAt;
         private boolean again;
+        private boolean connected;
 
-        Client(Driver driver) {
+        Client(Driver driver, int port) {
             this.driver = driver;
+            this.port = port;
         }
 
         void connect() {
@@ -205,12 +231,16 @@
                         protected void initChannel(Channel c) {
                             c.pipeline().addLast(Client.this);
                         }
-                    }).connect(new InetSocketAddress("127.0.0.1", driver.plan.port()));
+                    }).connect(new InetSocketAddress("127.0.0.1", port));
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
+            if (!connected) {
+                connected = true;
+                driver.connecting.decrementAndGet();
+            }
             if (asked) {
                 write(); // the connection ended over a query that nobody had read
             } else {
@@ -281,7 +311,10 @@
             switch (status) {
                 case "200" -> {
                     r.answered++;
-                    r.micros.recordValue(Math.min(60_000_000, (System.nanoTime() - askedAt) / 1000));
+                    if (askedAt - driver.start >= WARM * 1e9) {
+                        r.micros.recordValue(Math.min(60_000_000, (System.nanoTime() - askedAt) / 1000));
+                        r.counted++;
+                    }
                     // Each value names the part it was made for, and gives back the text it was made from.
                     boolean right = body.startsWith("{\"exact\":true") && count(body, "\"data\":\"" + id + ".") == PARTS
                             && count(body, "/" + id + "\"") == PARTS;
--- a/lab/src/main/java/burlford/lab/Started.java
+++ b/lab/src/main/java/burlford/lab/Started.java
@@ -80,7 +80,15 @@
 
     /** Seconds of CPU time so far, as clock ticks of a hundredth. */
     double cpuSeconds() throws IOException {
-        String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+        return cpuSeconds(String.valueOf(process.pid()));
+    }
+
+    static double ownCpuSeconds() throws IOException {
+        return cpuSeconds("self");
+    }
+
+    private static double cpuSeconds(String pid) throws IOException {
+        String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
         String[] words = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
         return (Long.parseLong(words[11]) + Long.parseLong(words[12])) / 100.0;
     }
