Close a connection that finds no lane alive, and end a lane that is started during a stop

Cause: with all lanes failed at once placement names none and the acceptor would have thrown; a lane started anew after the others were told to end was never told, and the stop waited for its last limit. Change: both are handled.

--- a/coordinator/src/main/java/burlford/daemon/Lanes.java
+++ b/coordinator/src/main/java/burlford/daemon/Lanes.java
@@ -135,6 +135,9 @@
         placement.reset(number);
         supervision.started(number, now());
         ask(lane);
+        if (writtenBy != 0) {
+            lane.mayEnd(); // the others were told before it was there
+        }
     }
 
     /** The counts of all lanes and of this loop together, then each lane's own. */
@@ -237,7 +240,8 @@
         for (LaneThread lane : all()) {
             Supervision.State state = supervision.state(lane.number);
             boolean serves = anyAlive ? state != Supervision.State.DEAD : state == Supervision.State.SERVING;
-            views.add(new Placement.View(lane.number, serves, lane.share.open(), lane.share.connections(), supervision.lag(lane.number, now)));
+            views.add(new Placement.View(lane.number, serves, lane.share.open(), lane.share.connections(),
+                    supervision.lag(lane.number, now)));
         }
         return views;
     }
@@ -279,6 +283,10 @@
             // None serves just now: at the start of all, or while all stand still.
             number = placement.place(views(true));
         }
+        if (number < 0) {
+            client.unsafe().closeForcibly(); // all have failed and none has been started anew yet
+            return;
+        }
         LaneThread lane = lane(number);
         Door door = client.attr(Door.KEY).get();
         boolean moved = !client.config().isAutoRead();
