Move no connection with a reply unwritten, and make no words where nobody hears them

Cause: read once more, a connection could move while its last reply was still being written; the write's end then counted on the lane it came to, against the count of the one it left. And a coordinator that is alone made three records for each attempt that nobody heard.

Change: a connection is free to move once its replies are written; the commons are told of attempts and probes by plain calls, and only a lane makes words of them; the module looks for peers' forgotten parts only where it has had peers.

--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -87,6 +87,8 @@
     private boolean clean = true;
     private final ChannelFutureListener onClose = f -> gone();
     private final Decoder decoder = new Decoder();
+    /** Replies on their way into the socket. */
+    private int unwritten;
     private int thrownAway;
     private Deadlines.Deadline by;
 
@@ -178,9 +180,9 @@
         ctx.close();
     }
 
-    /** Between requests, with no byte of the next one read: all there is to it is its socket. */
+    /** Between requests, with no byte of the next one read nor of a reply unwritten: all there is is its socket. */
     boolean isClean() {
-        return clean && waiting.isEmpty() && !begun && !ending && !crowded && ctx.channel().isWritable();
+        return clean && waiting.isEmpty() && !begun && !ending && !crowded && unwritten == 0;
     }
 
     /**
@@ -302,8 +304,12 @@
             ending = true;
         }
         connections.writing();
+        unwritten++;
         ChannelFuture written = ctx.writeAndFlush(response);
-        written.addListener(f -> connections.written());
+        written.addListener(f -> {
+            unwritten--;
+            connections.written();
+        });
         if (close) {
             if (e.fault != null && ctx.channel() instanceof DuplexChannel duplex) {
                 written.addListener(f -> leave(duplex));
--- a/coordinator/src/main/java/burlford/core/Alone.java
+++ b/coordinator/src/main/java/burlford/core/Alone.java
@@ -1,5 +1,8 @@
 package burlford.core;
 
+import burlford.policy.Aggregator.Outcome;
+import burlford.policy.Dispatcher.Part;
+import burlford.policy.Dispatcher.Send;
 import burlford.policy.Word;
 import java.util.HashSet;
 import java.util.List;
@@ -50,7 +53,13 @@
     }
 
     @Override
-    public void say(Word word) { }
+    public void sent(Send send, Part part, int queryClass, long at, long until) { }
+
+    @Override
+    public void ended(Send send, Outcome outcome, long at, long elapsed, double[] load) { }
+
+    @Override
+    public void probed(String reader, Outcome outcome, long at, long elapsed, double[] load) { }
 
     @Override
     public List<Word> heard() {
--- a/coordinator/src/main/java/burlford/core/Commons.java
+++ b/coordinator/src/main/java/burlford/core/Commons.java
@@ -1,5 +1,8 @@
 package burlford.core;
 
+import burlford.policy.Aggregator.Outcome;
+import burlford.policy.Dispatcher.Part;
+import burlford.policy.Dispatcher.Send;
 import burlford.policy.Word;
 import java.util.List;
 
@@ -32,8 +35,14 @@
     /** Another may ask this reader for its load; false: a question is out, and what comes of it will be heard. */
     boolean mayProbe(String reader);
 
-    /** Tells the others, sooner or later, or never: they must do without. */
-    void say(Word word);
+    /** Tells the others that an attempt was sent; sooner or later, or never: they must do without. */
+    void sent(Send send, Part part, int queryClass, long at, long until);
+
+    /** Tells them that one has ended. load: the reader's report, or empty. */
+    void ended(Send send, Outcome outcome, long at, long elapsed, double[] load);
+
+    /** Tells them what came of a probe; whoever waits for it is woken. */
+    void probed(String reader, Outcome outcome, long at, long elapsed, double[] load);
 
     /** What the others said since last asked, oldest first. */
     List<Word> heard();
--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -222,7 +222,7 @@
         boolean over = outcome == Outcome.OK || o.ended;
         long elapsed = elapsed(call.sentAt);
         double[] fresh = stale() ? NO_LOAD : load;
-        commons.say(new Word.Ended(call.send, outcome, now(), elapsed, fresh));
+        commons.ended(call.send, outcome, now(), elapsed, fresh);
         carryOut(o.dispatcher, o.dispatcher.report(now(), call.send, outcome, elapsed, over, fresh));
         settle(o);
     }
@@ -234,7 +234,7 @@
         deadlines.cancel(joined.remove(reader));
         long elapsed = elapsed(sentAt);
         double[] fresh = stale() ? NO_LOAD : load;
-        commons.say(new Word.Probed(reader, outcome, now(), elapsed, fresh));
+        commons.probed(reader, outcome, now(), elapsed, fresh);
         told(reader, outcome, elapsed, fresh);
     }
 
@@ -303,7 +303,7 @@
                 call.ended = true;
                 deadlines.cancel(call.timeout);
                 quietly(() -> readers.giveUp(call));
-                commons.say(new Word.Ended(call.send, Outcome.CANCELLED, now(), 0, NO_LOAD));
+                commons.ended(call.send, Outcome.CANCELLED, now(), 0, NO_LOAD);
             }
             o.calls.clear();
         }
@@ -435,7 +435,7 @@
             ended(call, Outcome.TIMEOUT, null, NO_LOAD);
         });
         counters.add(s.attempt() == 0 ? "attempts.first" : "attempts.further");
-        commons.say(new Word.Sent(s, part, o.query.queryClass(), now, until));
+        commons.sent(s, part, o.query.queryClass(), now, until);
         readers.send(call);
     }
 
--- a/coordinator/src/main/java/burlford/lanes/LaneShare.java
+++ b/coordinator/src/main/java/burlford/lanes/LaneShare.java
@@ -3,6 +3,9 @@
 import burlford.core.Census;
 import burlford.core.Commons;
 import burlford.core.Crowd;
+import burlford.policy.Aggregator.Outcome;
+import burlford.policy.Dispatcher.Part;
+import burlford.policy.Dispatcher.Send;
 import burlford.policy.Word;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -189,10 +192,20 @@
     // ---- what lanes tell each other
 
     @Override
-    public void say(Word word) {
-        said.add(word);
-        if (word instanceof Word.Probed p && asks.remove(p.reader())) {
-            ground.probes.answered(p.reader(), this);
+    public void sent(Send send, Part part, int queryClass, long at, long until) {
+        said.add(new Word.Sent(send, part, queryClass, at, until));
+    }
+
+    @Override
+    public void ended(Send send, Outcome outcome, long at, long elapsed, double[] load) {
+        said.add(new Word.Ended(send, outcome, at, elapsed, load));
+    }
+
+    @Override
+    public void probed(String reader, Outcome outcome, long at, long elapsed, double[] load) {
+        said.add(new Word.Probed(reader, outcome, at, elapsed, load));
+        if (asks.remove(reader)) {
+            ground.probes.answered(reader, this);
             // Others may be waiting for it.
             flush();
             for (LaneShare other : ground.shares) {
--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -127,6 +127,7 @@
     private long now = NEVER;
     private long alarmAt = NEVER;
     private long expireAt = NEVER;
+    private boolean hasPeers;
     private long listCallAt = NEVER;
     private int listFailures;
     private boolean hadList;
@@ -802,7 +803,7 @@
         if (s == null || e.queryClass() >= scale.length) {
             return;
         }
-        expire(s);
+        hasPeers = true;
         Attempt a = new Attempt();
         a.part = new Part();
         a.part.query = new Query();
@@ -856,7 +857,7 @@
     // ---- looking after open queries
 
     private void review() {
-        if (now >= expireAt) {
+        if (hasPeers && now >= expireAt) {
             expireAt = now + TICK;
             servers.values().forEach(this::expire);
         }
--- a/coordinator/src/test/java/burlford/lanes/LaneShareTest.java
+++ b/coordinator/src/test/java/burlford/lanes/LaneShareTest.java
@@ -33,8 +33,8 @@
         all.forEach(Runnable::run);
     }
 
-    private static Word probed(String reader) {
-        return new Word.Probed(reader, Outcome.OK, 0, 1, new double[0]);
+    private void probed(String reader) {
+        a.probed(reader, Outcome.OK, 0, 1, new double[0]);
     }
 
     @Test
@@ -127,7 +127,7 @@
         assertThat(b.mayProbe("r")).isFalse();
         assertThat(a.mayProbe("r")).isFalse();
         assertThat(b.mayProbe("s")).isTrue();
-        a.say(probed("r"));
+        probed("r");
         assertThat(b.heard()).hasSize(1);
         assertThat(b.mayProbe("r")).isTrue();
         // A lane that is given up with a question out: the others may ask.
@@ -141,7 +141,7 @@
         List<String> ordered = new ArrayList<>();
         for (int i = 0; i < 3 * WordQueue.CAPACITY; i++) {
             int n = i;
-            a.say(probed("r" + i));
+            probed("r" + i);
             a.flush();
             b.order(() -> ordered.add("list " + n));
             b.tell(i + 1);
@@ -152,7 +152,7 @@
         assertThat(heard.get(0)).isInstanceOf(Word.Lost.class);
         assertThat(heard).hasSize(1 + WordQueue.CAPACITY);
         assertThat(heard.get(heard.size() - 1)).extracting("reader").isEqualTo("r" + (ordered.size() - 1));
-        a.say(probed("last"));
+        probed("last");
         a.flush();
         assertThat(b.heard()).hasSize(1); // the loss was told once
         assertThat(b.dropped()).isEqualTo(2 * WordQueue.CAPACITY);
