--- a/coordinator/src/test/java/burlford/daemon/LanesTest.java
+++ b/coordinator/src/test/java/burlford/daemon/LanesTest.java
@@ -88,7 +88,7 @@
         return new ReaderEntry("s" + cell, "127.0.0.1", port, "angyalfold-room", cell, status, 1, 0);
     }
 
-    private static Configuration configuration(int maxOpen) throws Exception {
+    static Configuration configuration(int maxOpen) throws Exception {
         ObjectNode root;
         try (InputStream in = LanesTest.class.getResourceAsStream("/configuration.json")) {
             root = (ObjectNode) new ObjectMapper().readTree(in);
@@ -412,6 +412,27 @@
         assertThat(onControl(() -> lanes.ground().room())).isEqualTo(200);
     }
 
+    @Test
+    void toldToStopWhileOneStandsStillItEndsOnlyOnceThatOneHasAnswered() throws Exception {
+        Client[] both = both();
+        CountDownLatch wake = pause(0);
+        both[0].ask("asleep", "ok");
+        onControl(() -> {
+            shared.drain();
+            lanes.drain();
+            return null;
+        });
+        assertThat(both[1].ask("awake", "ok").answer()).startsWith("200");
+        await(() -> shared.now() > shared.leaveAt());
+        assertThat(control.isAlive()).isTrue();
+        wake.countDown();
+        assertThat(both[0].answer()).startsWith("200");
+        both[0].socket.close();
+        both[1].socket.close();
+        control.join(TimeUnit.SECONDS.toMillis(PATIENCE_S));
+        assertThat(control.isAlive()).isFalse();
+    }
+
     // ---- moving, and the end
 
     @Test
