--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -10,6 +10,7 @@
 import burlford.policy.Dispatcher.Send;
 import burlford.policy.Word;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -29,6 +30,9 @@
 public final class Coordinator implements Roster {
 
     private static final Logger LOG = Logger.getLogger(Coordinator.class.getName());
+    /** A line for each query, attempt, probe and list entry, at FINE; off by default, asked for once. */
+    private static final Logger TRACE = Logger.getLogger("burlford.trace");
+    private static final boolean TRACED = TRACE.isLoggable(Level.FINE);
     /** Before the client's time is up by this much a query still open is failed, whatever was decided. */
     private static final long LAST_WORD = 10_000;
     private static final double[] NO_LOAD = {};
@@ -169,11 +173,18 @@
             commons.release(query.id());
             counters.add("queries.refused.max_open");
             counters.add("queries.refused");
+            if (TRACED) {
+                trace("full query=%s class=%d parts=%d", query.id(), query.queryClass(), query.parts().size());
+            }
             client.refused(site.comeBack());
             return number;
         }
         Open o = new Open(number, query, client, dispatcher);
         queries.put(number, o);
+        if (TRACED) {
+            trace("taken query=%s class=%d tenant=%d parts=%d left=%d", query.id(), query.queryClass(), query.tenant(),
+                    query.parts().size(), query.deadline() - now());
+        }
         // Guards the rule that no query is lost, should the module not end it by itself.
         o.lastWord = deadlines.at(query.deadline() - LAST_WORD, () -> {
             if (!o.ended) {
@@ -222,6 +233,10 @@
         boolean over = outcome == Outcome.OK || o.ended;
         long elapsed = elapsed(call.sentAt);
         double[] fresh = stale() ? NO_LOAD : load;
+        if (TRACED) {
+            trace("attempt call=%s number=%d reader=%s outcome=%s took=%d", call.partId, call.send.attempt(),
+                    call.send.reader(), outcome, elapsed);
+        }
         commons.ended(call.send, outcome, now(), elapsed, fresh);
         carryOut(o.dispatcher, o.dispatcher.report(now(), call.send, outcome, elapsed, over, fresh));
         settle(o);
@@ -234,6 +249,9 @@
         deadlines.cancel(joined.remove(reader));
         long elapsed = elapsed(sentAt);
         double[] fresh = stale() ? NO_LOAD : load;
+        if (TRACED) {
+            trace("probe reader=%s outcome=%s took=%d load=%s", reader, outcome, elapsed, Arrays.toString(fresh));
+        }
         commons.probed(reader, outcome, now(), elapsed, fresh);
         told(reader, outcome, elapsed, fresh);
     }
@@ -336,6 +354,10 @@
             }
         }
         for (ReaderEntry e : entries) {
+            if (TRACED) {
+                trace("listed kind=%s reader=%s cell=%d status=%s started=%d", kind, e.id(), e.cell(), e.status(),
+                        e.startedAt());
+            }
             if (e.status() == Status.GONE) {
                 list.remove(e.id());
                 readers.gone(e.id());
@@ -451,6 +473,11 @@
     private void end(Open o, Ending e) {
         close(o);
         counters.add("queries." + e.verdict().name().toLowerCase());
+        if (TRACED) {
+            trace("ended query=%s class=%d tenant=%d verdict=%s left=%d values=%d come_back=%d", o.query.id(),
+                    o.query.queryClass(), o.query.tenant(), e.verdict(), o.query.deadline() - now(), o.values.size(),
+                    e.comeBack());
+        }
         switch (e.verdict()) {
             case ANSWERED -> o.client.answered(e.whole(), o.values);
             case REFUSED -> o.client.refused(e.comeBack());
@@ -473,6 +500,10 @@
         }
     }
 
+    private static void trace(String form, Object... values) {
+        TRACE.fine(String.format(form, values));
+    }
+
     private static long key(int part, int attempt) {
         return (long) part << 32 | attempt;
     }
--- a/coordinator/src/main/java/burlford/daemon/Daemon.java
+++ b/coordinator/src/main/java/burlford/daemon/Daemon.java
@@ -80,6 +80,7 @@
         Records records = new Records(store, roster, turns.deadlines, new InForce(), operator.inventory() == null
                 && configuration.discovery() == null);
         records.start();
+        Logger.getLogger("burlford.trace").log(Level.FINE, "settings {0}", shared.configuration().settings());
         if (operator.store() != null) {
             Map<String, InetSocketAddress> doors = operator.store().admins();
             StoreFront door = new StoreFront(store, doors, turns.counters, records::fault);
--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -432,14 +432,18 @@
 
     /**
      * The counter as far as it can be believed: a report also counts our own parts that have ended since, and
-     * one below what we have out there (late, or from a server that errs) counts no less than that.
+     * one below what we have out there (late, or from a server that errs) counts no less than that. All other
+     * instances see the same report and send there too: each is taken to have out as much as we have, less
+     * what is known of peers. Without it all piled onto the server last reported idle.
      */
     private double believed(Server s) {
         double load = load(s) - s.endedSince;
         if (s.reportAt != NEVER && !Double.isNaN(s.reportedQueue)) {
             load += (usualQueue - s.reportedQueue + s.endedSince) * (1 - kept(s.reportAt, now, REPORT_LIFE));
         }
-        return Math.max(load, s.out.size() + s.theirs.size());
+        int peers = s.theirs.size();
+        double others = Math.max(0, (set.instances() - 1) * s.out.size() - peers);
+        return Math.max(load, s.out.size() + peers) + others;
     }
 
     /**
--- /dev/null
+++ b/coordinator/src/test/java/burlford/policy/Fleet.java
@@ -0,0 +1,159 @@
+package burlford.policy;
+
+import burlford.policy.Aggregator.Action;
+import burlford.policy.Aggregator.Event;
+import burlford.policy.Aggregator.Outcome;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.LongToDoubleFunction;
+
+/**
+ * Many instances of the module before the same readers, in virtual time and from one seed: readers of two cores
+ * that serve in turn, load snapshots as old as readers take them, instances that share nothing.
+ */
+final class Fleet {
+
+    static final long MS = Fixture.MS;
+    private static final int CORES = 2;
+    /** Work of a part, and how often a reader takes the snapshot of its load that probes are answered with. */
+    static final long WORK = 30 * MS;
+    static final long SNAPSHOT = 600 * MS;
+    private static final long DELAY = 200 * MS;
+    private static final long WAY = MS;
+
+    final class Reader {
+        final long id;
+        final int cell;
+        private final long[] free = new long[CORES];
+        /** Its speed at a time; 1 is a warm one's. */
+        LongToDoubleFunction speed = at -> 1;
+        /** Every part ends as an error at once. */
+        boolean errs;
+        /** Nothing is answered. */
+        boolean silent;
+        int held;
+        int mostHeld;
+        private double reported;
+        /** When parts came. */
+        final List<Long> sent = new ArrayList<>();
+
+        Reader(long id, int cell) {
+            this.id = id;
+            this.cell = cell;
+            at(now + random.nextLong(SNAPSHOT), this::snapshot);
+        }
+
+        private void snapshot() {
+            double load = held;
+            at(now + DELAY, () -> reported = load);
+            at(now + SNAPSHOT, this::snapshot);
+        }
+
+        private void take(int instance, Aggregator.Send s, int attempt) {
+            sent.add(now);
+            if (silent) {
+                return;
+            }
+            held++;
+            mostHeld = Math.max(mostHeld, held);
+            int core = free[0] <= free[1] ? 0 : 1;
+            long work = (long) (WORK * (0.5 + random.nextDouble()) / speed.applyAsDouble(now));
+            free[core] = errs ? free[core] : Math.max(now, free[core]) + work;
+            long sentAt = now;
+            at(errs ? now + WAY : free[core] + WAY, () -> {
+                held--;
+                tell(instance, Fixture.end(s.part(), attempt, id, errs ? Outcome.ERROR : Outcome.OK, now - sentAt));
+            });
+        }
+    }
+
+    long now = Fixture.START;
+    final SplittableRandom random;
+    final Map<Long, Reader> readers = new TreeMap<>();
+    private final List<Decide> instances = new ArrayList<>();
+    private final List<List<Event>> inbox = new ArrayList<>();
+    private final List<Map<Long, Integer>> attempts = new ArrayList<>();
+    private final TreeMap<Long, List<Runnable>> due = new TreeMap<>();
+    private final int cells;
+    private long ids = 1;
+    int answered;
+    int refused;
+    int failed;
+    int probes;
+
+    Fleet(Aggregator.Settings settings, long seed) {
+        random = new SplittableRandom(seed);
+        cells = settings.cells();
+        for (int i = 0; i < settings.instances(); i++) {
+            instances.add(new Decide(settings, random.nextLong()));
+            inbox.add(new ArrayList<>());
+            attempts.add(new HashMap<>());
+        }
+    }
+
+    Reader reader(long id, int cell) {
+        return readers.computeIfAbsent(id, i -> new Reader(i, cell));
+    }
+
+    void at(long time, Runnable what) {
+        due.computeIfAbsent(time, t -> new ArrayList<>()).add(what);
+    }
+
+    void tell(int instance, Event e) {
+        inbox.get(instance).add(e);
+    }
+
+    void tellAll(Event e) {
+        inbox.forEach(i -> i.add(e));
+    }
+
+    /** Queries of one part for each shard of a few, so many a second at all instances together. */
+    void run(long span, double queriesPerSecond, int parts) {
+        for (long end = now + span; now < end; now += MS) {
+            while (!due.isEmpty() && due.firstKey() <= now) {
+                due.pollFirstEntry().getValue().forEach(Runnable::run);
+            }
+            if (random.nextDouble() < queriesPerSecond * MS / 1_000_000) {
+                int[] shards = random.ints(0, cells).distinct().limit(parts).toArray();
+                long id = ids;
+                ids += 1 + parts;
+                inbox.get(random.nextInt(instances.size())).addAll(Fixture.query(id, 0, random.nextLong(), shards));
+            }
+            for (int i = 0; i < instances.size(); i++) {
+                if (!inbox.get(i).isEmpty()) {
+                    List<Event> events = List.copyOf(inbox.get(i));
+                    inbox.get(i).clear();
+                    carryOut(i, instances.get(i).round(now, events));
+                }
+            }
+        }
+    }
+
+    private void carryOut(int instance, List<Action> actions) {
+        for (Action action : actions) {
+            if (action instanceof Aggregator.Send s) {
+                int attempt = attempts.get(instance).merge(s.part(), 1, Integer::sum) - 1;
+                readers.get(s.replica()).take(instance, s, attempt);
+            } else if (action instanceof Aggregator.Probe p) {
+                Reader r = readers.get(p.replica());
+                probes++;
+                long sentAt = now;
+                if (!r.silent) {
+                    at(now + 2 * WAY, () -> tell(instance, new Aggregator.Probed(r.id, Outcome.OK, now - sentAt, new double[] {r.reported})));
+                }
+            } else if (action instanceof Aggregator.SetAlarm a) {
+                at(now + a.delay(), () -> tell(instance, new Aggregator.Alarm(a.tag())));
+            } else if (action instanceof Aggregator.Answer) {
+                answered++;
+            } else if (action instanceof Aggregator.Refuse) {
+                refused++;
+            } else if (action instanceof Aggregator.Fail) {
+                failed++;
+            }
+        }
+    }
+}
