--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -78,8 +78,8 @@
     private static final double LATEST = 4;
     /** A copy is worth sending while the time left holds this many times its own: most parts take less. */
     private static final double LAST_CALL = 4;
-    /** Probes for each part taken: one, and some for parts whose first choice fell through; most for one. */
-    private static final double PROBES_PER_PART = 1.2;
+    /** What may go on probes, as a share of the result at their price; how many at most for one part. */
+    private static final double PROBE_SPEND = 0.012;
     private static final int PROBES_OF_PART = 2;
     /** A server heard of in this time is not asked again. */
     private static final long FRESH = SECOND / 4;
@@ -315,7 +315,7 @@
         q.parts.add(p);
         q.lookAt = now;
         parts.put(p.id, p);
-        probeTokens = Math.min(probeTokens + PROBES_PER_PART, servers.size());
+        probeTokens = Math.min(probeTokens + PROBE_SPEND / set.prices().probe(), servers.size());
     }
 
     private void took() {
--- a/coordinator/src/test/java/burlford/policy/FleetTest.java
+++ b/coordinator/src/test/java/burlford/policy/FleetTest.java
@@ -12,11 +12,16 @@
     private static final long SECOND = 1000 * Fixture.MS;
 
     private static Fleet fleet(int instances, int cells, int each, long seed) {
+        return fleet(instances, cells, each, seed, 0.01);
+    }
+
+    private static Fleet fleet(int instances, int cells, int each, long seed, double probePrice) {
         Fixture f = Fixture.plain();
         f.instances = instances;
         f.reach = 1;
         f.cells = cells;
         f.probe = true;
+        f.probePrice = probePrice;
         f.coldSpan = SECOND;
         f.aim = SECOND / 2;
         f.fields = List.of(Aggregator.Field.RATE, Aggregator.Field.QUEUE);
@@ -68,4 +73,16 @@
         }
         assertThat(refused).isLessThan(150);
     }
+
+    /** Eight times the price, an eighth of the probes at most, and what is learnt at no cost is enough for service. */
+    @Test
+    void probesOfAllInstancesCostNoMoreThanTheyMay() {
+        for (double price : new double[] {0.01, 0.08}) {
+            Fleet fleet = fleet(14, 5, 4, 1, price);
+            fleet.run(8 * SECOND, 150, 5);
+            int parts = fleet.readers.values().stream().mapToInt(r -> r.sent.size()).sum();
+            assertThat(price * fleet.probes / parts).as("price " + price).isLessThan(0.0125);
+            assertThat(fleet.refused + fleet.failed).as("price " + price).isLessThan(20);
+        }
+    }
 }
