Ask only of cold holders whether a part could wait there, and drop unused test switches

Need: read over once more. send() asked couldStart() of every holder of every waiting part, also where none is cold; Fleet had readers that err or are silent, which no test uses yet.

Change: the cheap question, whether there is a wait, comes first; the decisions are the same. The two switches are gone.

--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -564,7 +564,7 @@
     private void send(Part p) {
         Server s = choose(p);
         // Rather a turn at a cold server soon than one that takes far longer now.
-        if (s == null || holders(p).stream().anyMatch(h -> couldStart(p, h) && coldWait(h) > 0
+        if (s == null || holders(p).stream().anyMatch(h -> coldWait(h) > 0 && couldStart(p, h)
                 && 2 * (coldWait(h) + expected(h, p.query.cls)) < expected(s, p.query.cls)) || asked(p, s)) {
             return;
         }
--- a/coordinator/src/test/java/burlford/policy/Fleet.java
+++ b/coordinator/src/test/java/burlford/policy/Fleet.java
@@ -31,10 +31,6 @@
         private final long[] free = new long[CORES];
         /** Its speed at a time; 1 is a warm one's. */
         LongToDoubleFunction speed = at -> 1;
-        /** Every part ends as an error at once. */
-        boolean errs;
-        /** Nothing is answered. */
-        boolean silent;
         int held;
         int mostHeld;
         private double[] reported = {};
@@ -60,19 +56,16 @@
             sent.add(now);
             double most = rules.tipMultiple() * speed.applyAsDouble(now) * CORES * rules.fall() / WORK;
             overRule += sent.stream().filter(t -> t > now - rules.fall()).count() > most ? 1 : 0;
-            if (silent) {
-                return;
-            }
             held++;
             mostHeld = Math.max(mostHeld, held);
             int core = free[0] <= free[1] ? 0 : 1;
             long work = (long) (WORK * (0.5 + random.nextDouble()) / speed.applyAsDouble(now));
-            free[core] = errs ? free[core] : Math.max(now, free[core]) + work;
+            free[core] = Math.max(now, free[core]) + work;
             long sentAt = now;
-            at(errs ? now + WAY : free[core] + WAY, () -> {
+            at(free[core] + WAY, () -> {
                 held--;
                 served++;
-                tell(instance, Fixture.end(s.part(), attempt, id, errs ? Outcome.ERROR : Outcome.OK, now - sentAt));
+                tell(instance, Fixture.end(s.part(), attempt, id, Outcome.OK, now - sentAt));
             });
         }
     }
@@ -172,9 +165,7 @@
                 Reader r = readers.get(p.replica());
                 probes++;
                 long sentAt = now;
-                if (!r.silent) {
-                    at(now + 2 * WAY, () -> tell(instance, new Aggregator.Probed(r.id, Outcome.OK, now - sentAt, r.reported)));
-                }
+                at(now + 2 * WAY, () -> tell(instance, new Aggregator.Probed(r.id, Outcome.OK, now - sentAt, r.reported)));
             } else if (action instanceof Aggregator.SetAlarm a) {
                 at(now + a.delay(), () -> tell(instance, new Aggregator.Alarm(a.tag())));
             } else if (action instanceof Aggregator.Answer) {
