Recall parts that take far too long, keep what parts taught, and listen last

Lines at fault: Decide.probed set a reader's slowness to nought at each quick probe, and probes are answered beside the queue; what was learnt halved in 4 s, while a coordinator meets a reader every 2 s; and a part that sat there was left ('CANCELLED took=747800').

Daemon.run bound the listener before it read the list; HttpConnection counted a request from when it was read.

Changed: a quick probe no longer erases what parts told; speed is remembered as long as trust (10 s). An attempt that takes four times what it should on a warm reader, with nothing heard from there since, is recalled and goes elsewhere a tick later, so never two out; a recall tells that the reader is slow, not that it loses parts. Listeners open last, and a request counts from the look at the network before the turn that read it.

--- a/coordinator/src/main/java/burlford/daemon/Daemon.java
+++ b/coordinator/src/main/java/burlford/daemon/Daemon.java
@@ -72,10 +72,6 @@
         Roster roster = serving.roster();
         Inventory inventory = operator.inventory() == null ? null
                 : Inventory.load(operator.inventory(), roster.site().cells());
-        listen("platform", configuration.listen(), b -> serving.accept(b, Door.PLATFORM));
-        if (operator.search() != null) {
-            listen("search", operator.search().listen(), b -> serving.accept(b, Door.SEARCH));
-        }
         Store store = store(operator.store());
         Records records = new Records(store, roster, turns.deadlines, new InForce(), operator.inventory() == null
                 && configuration.discovery() == null);
@@ -98,6 +94,11 @@
             watch = new Watch(serving.out(), configuration.discovery(), roster, turns.deadlines);
             watch.start(configuration.known());
         }
+        // Last: what comes from here on is ours to answer, and reading the list took half a second of a short core.
+        listen("platform", configuration.listen(), b -> serving.accept(b, Door.PLATFORM));
+        if (operator.search() != null) {
+            listen("search", operator.search().listen(), b -> serving.accept(b, Door.SEARCH));
+        }
         while (!serving.over()) {
             turns.turn();
         }
--- a/coordinator/src/main/java/burlford/daemon/Lane.java
+++ b/coordinator/src/main/java/burlford/daemon/Lane.java
@@ -121,7 +121,7 @@
     }
 
     void serve(Channel client, HttpConnection.Front front) {
-        client.pipeline().addLast(HttpConnection.handlers(front, turns.clock, () -> leaving || shared.handingOver(),
-                connections));
+        client.pipeline().addLast(HttpConnection.handlers(front, turns::unreadSince,
+                () -> leaving || shared.handingOver(), connections));
     }
 }
--- a/coordinator/src/main/java/burlford/daemon/Turns.java
+++ b/coordinator/src/main/java/burlford/daemon/Turns.java
@@ -20,11 +20,15 @@
 
     private static final Logger LOG = Logger.getLogger(Turns.class.getName());
     private static final long LONGEST_TURN = 1_000_000;
+    private static final long NEVER = Long.MIN_VALUE;
 
     final ManualIoEventLoop loop;
     final Deadlines deadlines = new Deadlines();
     final Counters counters = new Counters();
     final LongSupplier clock;
+    /** When this turn first read from a client, and how long the one before went on from there. */
+    private long woke = NEVER;
+    private long spent;
 
     /** thread: the one that turns it; null: the first that does. clock: microseconds. */
     Turns(Thread thread, LongSupplier clock) {
@@ -36,6 +40,16 @@
         return clock.getAsLong();
     }
 
+    /**
+     * What is read now may have come when the turn before had just looked: a request counts from then, or a loop that
+     * was short of the core would give it time that its client has not. After a wait it is younger, by that turn's
+     * length at most.
+     */
+    long unreadSince() {
+        woke = woke == NEVER ? now() : woke;
+        return woke - spent;
+    }
+
     void turn() {
         long next = Math.min(deadlines.next() - now(), LONGEST_TURN);
         // A wait of nought would be one without end: what is due already must not wait for the network.
@@ -44,6 +58,7 @@
         } else {
             loop.runNow();
         }
+        long read = woke == NEVER ? now() : woke;
         try {
             deadlines.sweep(now());
         } catch (RuntimeException e) {
@@ -51,6 +66,8 @@
             counters.add("faults");
             LOG.log(Level.SEVERE, "a deadline's action failed", e);
         }
+        spent = now() - read;
+        woke = NEVER;
     }
 
     /** Turns until a listener is bound. */
--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -52,7 +52,7 @@
     /** Shared means move so far with each value; marks by so much of themselves, weighted by the quantile. */
     private static final double DRIFT = 0.02;
     private static final double STEP = 0.1;
-    /** What is known of a server's speed: half-life, weight of a new outcome, bounds. */
+    /** How long overruns are remembered; of a server's speed the weight of a new outcome, and bounds. */
     private static final double HALF_LIFE = 4.0 * SECOND;
     private static final double NEWEST = 0.25;
     private static final double SLOWEST = 20;
@@ -495,26 +495,22 @@
 
     /** Every send passes here: the rules hold whatever else is decided. */
     private boolean mayStart(Part p, Server s) {
-        return couldStart(p, s) && coldWait(s) <= 0;
+        return couldStart(p, s) && coldWait(s) <= 0 && (p.out == 0 || set.allowed().secondCopies());
     }
 
-    /** It may be sent there now, or once a cold server has room for it. */
+    /** It may be sent there now, or once a cold server has room for it and what is out of it is recalled. */
     private boolean couldStart(Part p, Server s) {
         Query q = p.query;
-        Effect effect = set.classes().get(q.cls).effect();
         if (!q.open || p.in || p.over || now >= q.endsAt || !repeatable(p)) {
             return false;
         }
         if (!s.listed || s.status != Status.READY) {
             return false; // drains: nothing new from the moment we are told, so within any grace
         }
-        if (p.out > 0 && (!set.allowed().secondCopies() || effect == Effect.UNSAFE)) {
-            return false;
-        }
         if (p.attempts.stream().anyMatch(a -> !a.ended && a.server == s)) {
             return false;
         }
-        return (p.attempts.isEmpty() || budgetLeft() >= 1);
+        return p.attempts.isEmpty() || budgetLeft() >= 1;
     }
 
     /** Its attempts so far leave another: not all used, and what may have run may run again. */
@@ -689,7 +685,7 @@
     }
 
     private double faded(Server s) {
-        return s.slowLog * kept(s.slowAt, now, HALF_LIFE);
+        return s.slowLog * kept(s.slowAt, now, TRUST_LIFE);
     }
 
     private void observe(Attempt a, long elapsed) {
@@ -781,7 +777,7 @@
             mark(elapsed / Math.max(1, a.expected));
             observe(a, elapsed);
             // The line is fitted to what all classes and servers took, so that their factors average one.
-            double plain = Math.min(elapsed, LATEST * plain(a));
+            double plain = Math.min(elapsed, LATEST * Math.max(plain(a), a.expected));
             time.add(a.loadAtSend, plain, FORGET, LEAST_BASE);
             scale[cls] += DRIFT * (plain / line - scale[cls]);
             s.heardAt = Math.max(s.heardAt, at);
@@ -791,7 +787,7 @@
                 observe(a, elapsed);
                 mark(Double.MAX_VALUE); // cut short, so above the mark: else the mark would chase itself down
             }
-            if (elapsed > overdue * a.expected) {
+            if (elapsed > overdue * a.expected && !a.cancelAsked) { // recalled: slow, not lost
                 trust(s, cls, false);
                 s.failureCost += NEWEST * (FAILURE_COST - s.failureCost);
             }
@@ -880,8 +876,14 @@
             q.lookAt = look ? now + TICK : q.lookAt;
             for (Part p : q.parts) {
                 (look && p.out > 0 ? p.attempts : List.<Attempt>of()).forEach(this::note);
-                if (!p.over && (p.out == 0 ? !suspect(q) || p.attempts.isEmpty() : look && late(p))) {
-                    waiting.add(p);
+                if (!p.over && p.out == 0 ? now >= p.againAt && (!suspect(q) || p.attempts.isEmpty())
+                        : !p.over && look && late(p)) {
+                    if (p.out > 0 && !set.allowed().secondCopies()) {
+                        cancel(p.attempts.get(p.attempts.size() - 1));
+                        p.againAt = now + TICK; // the word is there before the part is anywhere else
+                    } else {
+                        waiting.add(p);
+                    }
                 }
             }
         }
@@ -911,26 +913,24 @@
     }
 
     /**
-     * A copy elsewhere would be in time and sooner, and its server is silent past the mark, or it is the last
-     * call. An attempt is never called back to start anew: a part that takes long is mostly a heavy one.
+     * Elsewhere it would be in time and sooner: its server is silent past the mark, or it is the last
+     * call. Where no two may be out it is recalled first, if a warm server would not take so long for it.
      */
     private boolean late(Part p) {
-        if (!set.allowed().secondCopies() || set.classes().get(p.query.cls).effect() == Effect.UNSAFE
-                || p.out > 1 || p.attempts.size() >= set.allowed().attempts()) {
-            return false;
-        }
         Attempt a = p.attempts.get(p.attempts.size() - 1);
+        boolean copies = set.allowed().secondCopies();
         double age = now - a.sentAt;
-        if (a.ended || a.cancelAsked || age <= a.expected) {
+        if (!copies && (cold(a.server) || !set.allowed().cancel()) || p.out > 1 || a.ended || a.cancelAsked
+                || age <= (copies ? a.expected : LATEST * Math.max(plain(a), a.expected))) {
             return false;
         }
-        double other = holders(p).stream().filter(s -> mayStart(p, s))
+        double other = holders(p).stream().filter(s -> couldStart(p, s) && coldWait(s) <= 0)
                 .mapToDouble(s -> expected(s, p.query.cls)).min().orElse(Double.MAX_VALUE);
         // A busy server goes on answering others and will come to this part: only a silent one is given up.
         double silent = now - Math.max(a.sentAt, a.server.heardAt);
-        boolean last = age > a.expected && p.query.aimAt - now < LAST_CALL * other;
-        return (age > overdue * a.expected && silent > 2 * time.base || last) && 2 * other < age
-                && now + other < p.query.aimAt;
+        boolean due = copies ? age > overdue * a.expected && silent > 2 * time.base
+                || p.query.aimAt - now < LAST_CALL * other : silent >= age;
+        return due && 2 * other < age && now + other < p.query.aimAt;
     }
 
     private void finish(Query q) {
@@ -1069,13 +1069,13 @@
             servers.remove(s.id);
         }
         if (outcome == Outcome.OK) {
-            // Its work is always the same, so its time over the usual is the server's slowness; one that
-            // takes far longer has waited. Distance would pass for slowness but for a usual time by zone.
+            // One that takes long tells of a slow server, one far longer has waited; a quick one may come
+            // from beside the queue: what parts told stands. Distance passes for slowness but for zones.
             double took = Math.max(1, elapsed);
             double usual = usualProbe.merge(s.zone, took, (was, is) -> follow(was, is, 0.5, STEP));
             double ratio = took / usual;
-            if (ratio < SLOWEST) {
-                slow(s, ratio < PROBE_NOISE ? 0 : Math.log(ratio));
+            if (ratio < SLOWEST && ratio >= PROBE_NOISE) {
+                slow(s, Math.max(faded(s), Math.log(ratio)));
             }
             report(s, report, at);
         } else if (outcome.neverRan) {
--- a/coordinator/src/main/java/burlford/policy/State.java
+++ b/coordinator/src/main/java/burlford/policy/State.java
@@ -82,6 +82,8 @@
         boolean over;
         int out;
         int checks;
+        /** An attempt of it was recalled: no other is sent before. */
+        long againAt = Decide.NEVER;
         final List<Attempt> attempts = new ArrayList<>();
     }
 
--- a/coordinator/src/test/java/burlford/policy/Fleet.java
+++ b/coordinator/src/test/java/burlford/policy/Fleet.java
@@ -62,9 +62,13 @@
             long work = (long) (WORK * (0.5 + random.nextDouble()) / speed.applyAsDouble(now));
             free[core] = Math.max(now, free[core]) + work;
             long sentAt = now;
+            waiting.put(List.of((long) instance, s.part(), (long) attempt), now);
             at(free[core] + WAY, () -> {
                 held--;
                 served++;
+                if (waiting.remove(List.of((long) instance, s.part(), (long) attempt)) == null) {
+                    return; // recalled: its work was done all the same
+                }
                 tell(instance, Fixture.end(s.part(), attempt, id, Outcome.OK, now - sentAt));
             });
         }
@@ -84,6 +88,8 @@
     int refused;
     int failed;
     int probes;
+    /** Attempts out, by instance, part and number: when they were sent. */
+    private final Map<List<Long>, Long> waiting = new HashMap<>();
 
     Fleet(Aggregator.Settings settings, long seed) {
         random = new SplittableRandom(seed);
@@ -166,6 +172,11 @@
                 probes++;
                 long sentAt = now;
                 at(now + 2 * WAY, () -> tell(instance, new Aggregator.Probed(r.id, Outcome.OK, now - sentAt, r.reported)));
+            } else if (action instanceof Aggregator.Cancel c) {
+                Long sentAt = waiting.remove(List.of((long) instance, c.part(), (long) c.attempt()));
+                if (sentAt != null) {
+                    tell(instance, Fixture.end(c.part(), c.attempt(), 0, Outcome.CANCELLED, now - sentAt));
+                }
             } else if (action instanceof Aggregator.SetAlarm a) {
                 at(now + a.delay(), () -> tell(instance, new Aggregator.Alarm(a.tag())));
             } else if (action instanceof Aggregator.Answer) {
