Count a connection never used as a queue where connections are priced

A reader never heard of counted as idle (Decide.felt, State.load), so each coordinator was drawn to all 60.

Change: where charges.handshake is set, one never used and one never heard of each count a usual queue.

--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -389,8 +389,7 @@
 
     /**
      * The holder whose id hashes highest with the key (or class and shard): one leaves, other homes stay.
-     * Where crossing zones has a price it is sought among the holders of our zone, if there are any: cost is
-     * less there. A key then has a home in each zone, so less is gained from servers that met it.
+     * Where crossing zones has a price it is sought among the holders of our zone, if there are any.
      */
     private Server home(Part p) {
         long key = p.key != 0 ? p.key : (p.query.cls + 1L) * 0x9E3779B97F4A7C15L + p.shard;
@@ -427,13 +426,15 @@
     }
 
     /**
-     * Exception to step 3, in its own terms: the load that the score compares is the counter as it would be
-     * with this part on it, times how much slower than its peers the server is, less the part itself. On a
-     * server of ordinary speed that is the counter.
+     * Exception to step 3, in its own terms: the load compared is the counter as it would be with this part
+     * on it, times how much slower than its peers the server is, less the part itself. Where connections
+     * are priced, one never used and one never heard of count a usual queue each: all were drawn to all.
      */
     private double felt(Server s, int cls, double weight, boolean last) {
         double call = set.callWork() > 0 && s.calledRound == rounds ? set.callWork() / time.base : 0;
-        return (believed(s) + weight - Math.min(call, weight)) * condition(s, cls, last) - weight;
+        double anew = set.prices().handshake() == 0 ? 0 : (s.usedAt == NEVER ? usualQueue : 0)
+                + (s.reportAt == NEVER ? usualQueue : 0);
+        return (believed(s) + anew + weight - Math.min(call, weight)) * condition(s, cls, last) - weight;
     }
 
     /**
@@ -507,10 +508,8 @@
         if (!s.listed || s.status != Status.READY) {
             return false; // drains: nothing new from the moment we are told, so within any grace
         }
-        if (p.attempts.stream().anyMatch(a -> !a.ended && a.server == s)) {
-            return false;
-        }
-        return p.attempts.isEmpty() || budgetLeft() >= 1;
+        return p.attempts.stream().noneMatch(a -> !a.ended && a.server == s)
+                && (p.attempts.isEmpty() || budgetLeft() >= 1);
     }
 
     /** Its attempts so far leave another: not all used, and what may have run may run again. */
--- a/coordinator/src/test/java/burlford/policy/Fixture.java
+++ b/coordinator/src/test/java/burlford/policy/Fixture.java
@@ -30,6 +30,7 @@
     double late;
     double crossZone;
     double probePrice = 0.01;
+    double handshakePrice;
     boolean marked;
     List<Aggregator.Field> fields = List.of(Aggregator.Field.QUEUE);
 
@@ -43,7 +44,7 @@
                 List.of(), new Aggregator.Rules(1000 * MS, 0.2, 10_000 * MS, 2, coldSpan, budgetFree >= 0,
                 Math.max(0, budgetFree), budgetShare, 5000 * MS, 20 * MS, 10_000 * MS),
                 new Aggregator.Allowed(attempts, open, secondCopies, true, probe, true, 500 * MS),
-                new Aggregator.Prices(crossZone, 0, probePrice), marked);
+                new Aggregator.Prices(crossZone, handshakePrice, probePrice), marked);
     }
 
     static Aggregator.Listed server(long id, int cell) {
--- a/coordinator/src/test/java/burlford/policy/Fleet.java
+++ b/coordinator/src/test/java/burlford/policy/Fleet.java
@@ -5,8 +5,10 @@
 import burlford.policy.Aggregator.Outcome;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.LongToDoubleFunction;
@@ -54,6 +56,7 @@
 
         private void take(int instance, Aggregator.Send s, int attempt) {
             sent.add(now);
+            connected.add(List.of((long) instance, id));
             double most = rules.tipMultiple() * speed.applyAsDouble(now) * CORES * rules.fall() / WORK;
             overRule += sent.stream().filter(t -> t > now - rules.fall()).count() > most ? 1 : 0;
             held++;
@@ -88,6 +91,8 @@
     int refused;
     int failed;
     int probes;
+    /** Instances and readers that have had a connection between them: parts went there. */
+    final Set<List<Long>> connected = new HashSet<>();
     /** Attempts out, by instance, part and number: when they were sent. */
     private final Map<List<Long>, Long> waiting = new HashMap<>();
 
--- a/coordinator/src/test/java/burlford/policy/FleetTest.java
+++ b/coordinator/src/test/java/burlford/policy/FleetTest.java
@@ -22,6 +22,7 @@
         f.cells = cells;
         f.probe = true;
         f.probePrice = probePrice;
+        f.handshakePrice = probePrice;
         f.coldSpan = SECOND;
         f.aim = SECOND / 2;
         f.fields = List.of(Aggregator.Field.RATE, Aggregator.Field.QUEUE);
@@ -66,6 +67,19 @@
         assertThat(fleet.refused + fleet.failed).isLessThan(30);
     }
 
+    /**
+     * A hundred instances before sixty readers: one already connected to, and no busier than is usual, will do. Of 6,000
+     * connections 5,500 were opened while each instance was drawn to every reader it had not heard of.
+     */
+    @Test
+    void hundredInstancesDoNotEachConnectToEveryReader() {
+        Fleet fleet = fleet(100, 15, 4, 1, 0.08);
+        fleet.run(15 * SECOND, 300, 7);
+        assertThat(fleet.refused + fleet.failed).isZero();
+        assertThat(fleet.connected.size()).isLessThan(4000);
+        assertThat(fleet.readers.values()).allSatisfy(r -> assertThat(r.sent.size()).isBetween(200, 900));
+    }
+
     /**
      * Six in ten readers are replaced within 7 s: all instances together keep within what the rule allows a cold
      * one, and use it all the same. 492 of 9,600 queries were refused while admission took no account of a turn that
