Believe others to hold some usual queues for each own part, not ninety-nine parts

Line at fault: Decide.believed took a reader with one own part to hold instances - 1 more; the first line of time over load then gives 50 ms x (1 + 100 / 2) for an aim of 500 ms, so whoever had one part at all four holders of a shard refused the next query for it.

Up to some 14 instances the others count as before.

--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -59,8 +59,9 @@
     private static final double FASTEST = 0.5;
     /** A report counts half after so long: a few parts' time, in which a queue is another. */
     private static final double REPORT_LIFE = SECOND;
-    /** No queue is believed to be longer than so many times the usual one. */
+    /** No queue, and for each part of ours none of others, is believed longer than so many usual ones. */
     private static final double LONGEST_QUEUE = 64;
+    private static final double MOST_OTHERS = 4;
     /** Outcomes count half after so long: about as long as trouble lasts, so that few parts try it again. */
     private static final double TRUST_LIFE = 10.0 * SECOND;
     /** A part that comes to nothing costs so many times its usual time: the wait, and the query it is of. */
@@ -441,14 +442,15 @@
      * The counter as far as it can be believed: a report also counts our own parts that have ended since, and
      * one below what we have out there (late, or from a server that errs) counts no less than that. Others
      * see it too, and piled onto the server it shows idle: each is taken to have out what we have, less what
-     * is known of peers.
+     * is known of peers; of hundreds that tells little, so all of them no more than some usual queues.
      */
     private double believed(Server s) {
         double load = load(s) - s.endedSince;
         if (s.reportAt != NEVER && !Double.isNaN(s.reportedQueue)) {
             load += (usualQueue - s.reportedQueue + s.endedSince) * (1 - kept(s.reportAt, now, REPORT_LIFE));
         }
-        double others = Math.max(0, (set.instances() - 1) * s.out.size() - s.theirs.size());
+        double each = Math.min(set.instances() - 1, MOST_OTHERS * usualQueue);
+        double others = Math.max(0, each * s.out.size() - s.theirs.size());
         return Math.max(load, s.out.size() + s.theirs.size()) + others;
     }
 
@@ -501,8 +503,7 @@
 
     /** It may be sent there now, or once a cold server has room for it and what is out of it is recalled. */
     private boolean couldStart(Part p, Server s) {
-        Query q = p.query;
-        if (!q.open || p.in || p.over || now >= q.endsAt || !repeatable(p)) {
+        if (!p.query.open || p.in || p.over || now >= p.query.endsAt || !repeatable(p)) {
             return false;
         }
         if (!s.listed || s.status != Status.READY) {
--- a/coordinator/src/test/java/burlford/policy/FleetTest.java
+++ b/coordinator/src/test/java/burlford/policy/FleetTest.java
@@ -4,6 +4,8 @@
 
 import burlford.policy.Aggregator.Listed;
 import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
 /** What is harmless in one instance and ruinous when all do it. */
@@ -80,6 +82,28 @@
         assertThat(fleet.readers.values()).allSatisfy(r -> assertThat(r.sent.size()).isBetween(200, 900));
     }
 
+    /**
+     * One of a hundred that has just started gets a dozen queries at once, from clients of those that are down. It took
+     * each reader with one part of its own to hold ninety-nine others, and refused half of them at once.
+     */
+    @Test
+    void freshInstanceOfAHundredTakesABurst() {
+        Fixture f = Fixture.plain();
+        f.instances = 100;
+        f.reach = 1;
+        f.cells = 15;
+        f.aim = SECOND / 2;
+        Decide module = new Decide(f.settings(), 1);
+        module.round(Fixture.START, List.of(Fixture.list(LongStream.range(0, 60)
+                .mapToObj(i -> Fixture.server(100 + i, (int) i % 15)).toArray(Listed[]::new))));
+        SplittableRandom random = new SplittableRandom(1);
+        for (int q = 0; q < 12; q++) {
+            int[] shards = random.ints(0, 15).distinct().limit(7).toArray();
+            assertThat(module.round(Fixture.START + (1 + q) * Fixture.MS, Fixture.query(1 + 20L * q, 0, q + 1, shards)))
+                    .as("query " + q).noneMatch(Aggregator.Refuse.class::isInstance);
+        }
+    }
+
     /**
      * Six in ten readers are replaced within 7 s: all instances together keep within what the rule allows a cold
      * one, and use it all the same. 492 of 9,600 queries were refused while admission took no account of a turn that
