Try one query when nothing is out, so that bad times learnt do not refuse for good

Line at fault: Decide.admit refuses by times learnt, and these change only by what is sent.

Ruled out: how long speeds are remembered (4 s or 10 s: same).

Change: where nothing is out and no query ended for 0.25 s, one whose aim is ahead is taken. The test fails without it.

--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -356,7 +356,9 @@
             q.aimAt = Math.min(q.endsAt, now + c.aim());
         }
         suspects.values().removeIf(at -> now - at > SUSPECT_LIFE);
-        if (q.aimAt - now < asked || suspects.containsKey(q.key)) {
+        // With nothing out nothing is learnt: one is tried, or times learnt in a bad moment stay for good.
+        if (q.aimAt - now < asked && (q.aimAt <= now || now - stretchAt <= FRESH
+                || parts.values().stream().anyMatch(p -> p.out > 0)) || suspects.containsKey(q.key)) {
             giveUp(q);
         } else {
             late.forEach(p -> p.over = true);
@@ -503,12 +505,11 @@
 
     /** It may be sent there now, or once a cold server has room for it and what is out of it is recalled. */
     private boolean couldStart(Part p, Server s) {
-        if (!p.query.open || p.in || p.over || now >= p.query.endsAt || !repeatable(p)) {
+        // Drains: nothing new from the moment we are told, so within any grace.
+        if (!s.listed || s.status != Status.READY || !p.query.open || p.in || p.over
+                || now >= p.query.endsAt || !repeatable(p)) {
             return false;
         }
-        if (!s.listed || s.status != Status.READY) {
-            return false; // drains: nothing new from the moment we are told, so within any grace
-        }
         return p.attempts.stream().noneMatch(a -> !a.ended && a.server == s)
                 && (p.attempts.isEmpty() || budgetLeft() >= 1);
     }
@@ -928,9 +929,8 @@
                 .mapToDouble(s -> expected(s, p.query.cls)).min().orElse(Double.MAX_VALUE);
         // A busy server goes on answering others and will come to this part: only a silent one is given up.
         double silent = now - Math.max(a.sentAt, a.server.heardAt);
-        boolean due = copies ? age > overdue * a.expected && silent > 2 * time.base
-                || p.query.aimAt - now < LAST_CALL * other : silent >= age;
-        return due && 2 * other < age && now + other < p.query.aimAt;
+        return (copies ? age > overdue * a.expected && silent > 2 * time.base || p.query.aimAt - now
+                < LAST_CALL * other : silent >= age) && 2 * other < age && now + other < p.query.aimAt;
     }
 
     private void finish(Query q) {
--- a/coordinator/src/test/java/burlford/policy/FleetTest.java
+++ b/coordinator/src/test/java/burlford/policy/FleetTest.java
@@ -104,6 +104,18 @@
         }
     }
 
+    /** Times learnt while all stood slow must not refuse for good: what is never tried is never learnt anew. */
+    @Test
+    void instancesThatLearntBadTimesTakeQueriesAgain() {
+        Fleet fleet = fleet(2, 3, 4, 1);
+        fleet.readers.values().forEach(r -> r.speed = at -> at < Fixture.START + 3 * SECOND ? 0.02 : 1);
+        fleet.run(10 * SECOND, 40, 3);
+        int refused = fleet.refused;
+        assertThat(refused).isPositive();
+        fleet.run(4 * SECOND, 40, 3);
+        assertThat(fleet.refused).isEqualTo(refused);
+    }
+
     /**
      * Six in ten readers are replaced within 7 s: all instances together keep within what the rule allows a cold
      * one, and use it all the same. 492 of 9,600 queries were refused while admission took no account of a turn that
