Log why queries and connections end, and each change of a reader's state

The incident's logs could not tell a query whose client left from one that was closed, nor what of discovery's answer was unusable, nor when a reader was seen to drain.

Refusals and failures carry a reason, counted as queries.refused.<reason> and queries.failed.<reason>; connections closed from our side are counted by reason; discovery logs revisions, ends of its connections and the length of a bad line; a reader's change of state is one line. With the trace on, 'sent' and 'left' lines join 'taken', 'attempt' and 'ended'.

--- a/coordinator/src/main/java/burlford/clients/Connections.java
+++ b/coordinator/src/main/java/burlford/clients/Connections.java
@@ -1,11 +1,13 @@
 package burlford.clients;
 
+import burlford.core.Counters;
 import burlford.core.Crowd;
 import burlford.core.Deadlines;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.LongSupplier;
 
@@ -24,6 +26,7 @@
     private final Deadlines deadlines;
     private final LongSupplier clock;
     private final Crowd crowd;
+    private final Counters counters;
     private int most;
     private int toRefuse;
     private int open;
@@ -33,8 +36,9 @@
     private final Map<HttpConnection, Long> resting = new LinkedHashMap<>();
 
     /** descriptors: all that the process may hold. crowd: the connections and requests of the whole process. */
-    public Connections(int descriptors, Crowd crowd, Deadlines deadlines, LongSupplier clock) {
+    public Connections(int descriptors, Crowd crowd, Counters counters, Deadlines deadlines, LongSupplier clock) {
         this.crowd = crowd;
+        this.counters = counters;
         this.deadlines = deadlines;
         this.clock = clock;
         limit(descriptors);
@@ -69,7 +73,7 @@
         HttpConnection goes = first(silent, 0);
         goes = goes == null ? first(resting, RESTED) : goes;
         if (goes != null) {
-            goes.close();
+            goes.close(CloseReason.MAKE_ROOM);
         }
     }
 
@@ -109,6 +113,11 @@
         return now() - longest.getValue() >= least ? longest.getKey() : null;
     }
 
+    /** Counts why a connection is about to be closed from this side. */
+    void closing(CloseReason reason) {
+        counters.add("clients.connections.closed." + reason.name().toLowerCase(Locale.ROOT));
+    }
+
     void closed(HttpConnection c) {
         open--;
         crowd.closed();
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -160,7 +160,7 @@
         connections.opened(this);
         crowded = connections.crowded();
         if (connections.full()) {
-            c.close();
+            close(CloseReason.FULL);
         } else {
             due(REQUEST_TIME, this::tooSlow);
         }
@@ -176,7 +176,8 @@
         by = connections.deadlines().at(connections.now() + wait, action);
     }
 
-    void close() {
+    void close(CloseReason reason) {
+        connections.closing(reason);
         ctx.close();
     }
 
@@ -224,7 +225,7 @@
     /** Guards against heads and bodies that come slowly or never end. */
     private void tooSlow() {
         if (!begun) {
-            close();
+            close(CloseReason.NO_REQUEST);
             return;
         }
         Exchange e = new Exchange(this, HttpMethod.POST, "", EmptyHttpHeaders.INSTANCE, new byte[0],
@@ -300,6 +301,7 @@
                 .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         extra.forEach(response.headers()::set);
         if (close) {
+            connections.closing(closeReason(e));
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ending = true;
         }
@@ -320,7 +322,7 @@
         }
         if (waiting.isEmpty()) {
             connections.resting(this);
-            due(REST_TIME, this::close);
+            due(REST_TIME, () -> close(CloseReason.IDLE));
         }
         if (waiting.size() <= MOST_WAITING) {
             ctx.channel().config().setAutoRead(true);
@@ -328,6 +330,16 @@
         serveNext();
     }
 
+    private CloseReason closeReason(Exchange e) {
+        if (e.fault != null) {
+            return CloseReason.BAD_REQUEST;
+        }
+        if (!e.keepAlive) {
+            return CloseReason.ASKED;
+        }
+        return leaving.getAsBoolean() ? CloseReason.SHUTDOWN : CloseReason.SCARCE;
+    }
+
     /** Closed over input that nobody read, the connection would be reset, and the reply lost on its way. */
     private void leave(DuplexChannel channel) {
         waiting.forEach(this::release);
@@ -336,7 +348,7 @@
             channel.shutdownOutput();
             channel.config().setAutoRead(true);
             connections.leaving(this);
-            due(LEAVE_TIME, this::close);
+            due(LEAVE_TIME, () -> close(CloseReason.LINGERED));
         }
     }
 
@@ -363,6 +375,7 @@
         // A client that goes, also in the middle of a request, is nothing to tell of.
         if (!(cause instanceof IOException || cause instanceof PrematureChannelClosureException)) {
             LOG.log(Level.WARNING, "client connection closed", cause);
+            connections.closing(CloseReason.FAULT);
         }
         c.close();
     }
--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -1,5 +1,6 @@
 package burlford.core;
 
+import burlford.policy.Aggregator;
 import burlford.policy.Aggregator.ListKind;
 import burlford.policy.Aggregator.Outcome;
 import burlford.policy.Aggregator.Status;
@@ -189,7 +190,7 @@
         o.lastWord = deadlines.at(query.deadline() - LAST_WORD, () -> {
             if (!o.ended) {
                 counters.add("queries.overdue");
-                end(o, new Ending(number, Dispatcher.Verdict.FAILED, false, 0));
+                end(o, new Ending(number, Dispatcher.Verdict.FAILED, false, 0, Aggregator.Reason.TIME_OVER));
                 carryOut(o.dispatcher, o.dispatcher.report(now(), number));
             }
         });
@@ -206,6 +207,10 @@
             return;
         }
         counters.add("queries.left");
+        if (TRACED) {
+            trace("left query=%s class=%d left=%d values=%d out=%d", o.query.id(), o.query.queryClass(),
+                    o.query.deadline() - now(), o.values.size(), o.calls.size());
+        }
         close(o);
         settle(o);
         carryOut(o.dispatcher, o.dispatcher.report(now(), number));
@@ -344,10 +349,12 @@
             return;
         }
         counters.add("lists." + kind.name().toLowerCase());
+        boolean first = list.isEmpty();
         if (kind != ListKind.CHANGES) {
             List<String> named = entries.stream().map(ReaderEntry::id).toList();
             for (String id : List.copyOf(list.keySet())) {
                 if (!named.contains(id)) {
+                    LOG.log(Level.INFO, "reader {0}: not in the list any more", id);
                     list.remove(id);
                     readers.gone(id);
                 }
@@ -358,6 +365,9 @@
                 trace("listed kind=%s reader=%s cell=%d status=%s started=%d", kind, e.id(), e.cell(), e.status(),
                         e.startedAt());
             }
+            if (!first) {
+                logTransition(list.get(e.id()), e);
+            }
             if (e.status() == Status.GONE) {
                 list.remove(e.id());
                 readers.gone(e.id());
@@ -367,9 +377,21 @@
             }
         }
         told(kind, entries);
+        if (first) {
+            LOG.log(Level.INFO, "list of readers: {0}, from a list of kind {1}", new Object[] {list.size(), kind});
+        }
         onListed.run();
     }
 
+    private static void logTransition(ReaderEntry before, ReaderEntry after) {
+        Status was = before == null ? Status.GONE : before.status();
+        boolean restarted = before != null && before.startedAt() != after.startedAt();
+        if (was != after.status() || restarted) {
+            LOG.log(Level.INFO, "reader {0}: {1} to {2}{3}", new Object[] {after.id(), was, after.status(),
+                restarted ? ", started anew" : ""});
+        }
+    }
+
     private void told(ListKind kind, List<ReaderEntry> entries) {
         List<Dispatcher.Reader> all = entries.stream().map(e -> new Dispatcher.Reader(e.id(),
                 Math.max(0, site.zones().indexOf(e.zone())), e.cell(), e.status(), e.size(), e.startedAt())).toList();
@@ -457,6 +479,9 @@
             ended(call, Outcome.TIMEOUT, null, NO_LOAD);
         });
         counters.add(s.attempt() == 0 ? "attempts.first" : "attempts.further");
+        if (TRACED) {
+            trace("sent call=%s number=%d reader=%s until=%d", call.partId, s.attempt(), s.reader(), until - now);
+        }
         commons.sent(s, part, o.query.queryClass(), now, until);
         readers.send(call);
     }
@@ -472,11 +497,15 @@
 
     private void end(Open o, Ending e) {
         close(o);
-        counters.add("queries." + e.verdict().name().toLowerCase());
+        String verdict = "queries." + e.verdict().name().toLowerCase();
+        counters.add(verdict);
+        if (e.reason() != null) {
+            counters.add(verdict + "." + e.reason().name().toLowerCase());
+        }
         if (TRACED) {
-            trace("ended query=%s class=%d tenant=%d verdict=%s left=%d values=%d come_back=%d", o.query.id(),
-                    o.query.queryClass(), o.query.tenant(), e.verdict(), o.query.deadline() - now(), o.values.size(),
-                    e.comeBack());
+            trace("ended query=%s class=%d tenant=%d verdict=%s reason=%s left=%d values=%d out=%d come_back=%d",
+                    o.query.id(), o.query.queryClass(), o.query.tenant(), e.verdict(), e.reason(),
+                    o.query.deadline() - now(), o.values.size(), o.calls.size(), e.comeBack());
         }
         switch (e.verdict()) {
             case ANSWERED -> o.client.answered(e.whole(), o.values);
--- a/coordinator/src/main/java/burlford/daemon/Lane.java
+++ b/coordinator/src/main/java/burlford/daemon/Lane.java
@@ -49,7 +49,8 @@
         this.turns = turns;
         this.shared = shared;
         Shared.Setup setup = shared.setup();
-        connections = new Connections(setup.configuration().sockets(), crowd, turns.deadlines, turns.clock);
+        connections = new Connections(setup.configuration().sockets(), crowd, turns.counters, turns.deadlines,
+                turns.clock);
         coordinator = new Coordinator(setup.site(), dispatcher, commons, turns.deadlines, turns.counters, turns.clock);
         out = new Bootstrap().group(turns.loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
--- a/coordinator/src/main/java/burlford/daemon/Lanes.java
+++ b/coordinator/src/main/java/burlford/daemon/Lanes.java
@@ -77,7 +77,7 @@
         out = new Bootstrap().group(turns.loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
         ownShare = new LaneShare(ground, count, turns.loop, shared.clock);
-        ownConnections = new Connections(sockets, ownShare.crowd(), turns.deadlines, turns.clock);
+        ownConnections = new Connections(sockets, ownShare.crowd(), turns.counters, turns.deadlines, turns.clock);
         lanes = new AtomicReferenceArray<>(count);
         for (int lane = 0; lane < count; lane++) {
             start(lane);
--- a/coordinator/src/main/java/burlford/discovery/Watch.java
+++ b/coordinator/src/main/java/burlford/discovery/Watch.java
@@ -115,6 +115,7 @@
                 DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
                 get.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
                 opened.writeAndFlush(get);
+                LOG.log(Level.FINE, "discovery: asked {0} {1}", new Object[] {address, uri});
                 roster.counters().add("discovery.connections");
             } else {
                 LOG.log(Level.WARNING, "discovery: {0}", String.valueOf(f.cause().getMessage()));
@@ -122,6 +123,8 @@
         });
         opened.closeFuture().addListener(f -> {
             if (opened == channel) {
+                LOG.log(Level.INFO, "discovery: connection to {0} ended at revision {1}; opened again in {2} ms",
+                        new Object[] {address, Long.toString(revision), wait / 1000});
                 again();
             }
         });
@@ -150,6 +153,10 @@
         roster.counters().add("discovery.lines");
         try {
             ListReader.Listing l = ListReader.read(json.readTree(line), roster.site().cells());
+            if (l.complete() || fetch || l.revision() != revision) {
+                LOG.log(Level.INFO, "discovery: revision {0}, {1}, {2} readers named", new Object[] {
+                    Long.toString(l.revision()), l.complete() ? "whole" : "changes", l.entries().size()});
+            }
             revision = l.revision();
             wait = FIRST_WAIT;
             fetch &= !l.complete();
@@ -158,7 +165,7 @@
             // The last list stays. What the line said is lost, so the whole list is fetched over again.
             roster.counters().add("discovery.lines.bad");
             String why = e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage();
-            LOG.log(Level.WARNING, "discovery: bad line: {0}", why);
+            LOG.log(Level.WARNING, "discovery: bad line of {0} characters: {1}", new Object[] {line.length(), why});
             fetch = true;
             channel.close();
         }
--- a/coordinator/src/main/java/burlford/policy/Aggregator.java
+++ b/coordinator/src/main/java/burlford/policy/Aggregator.java
@@ -35,6 +35,20 @@
         }
     }
 
+    /** Why a query ended without an answer. */
+    enum Reason {
+        /** On arrival: no replica could finish it by its aim. */
+        EXPECTED_LATE,
+        /** Its key, or its own parts, broke the connections of readers. */
+        SUSPECT,
+        /** Half of its time is over and no reader ever had a part of it. */
+        NEVER_SENT,
+        /** Too few of its parts may still be sent again. */
+        NO_ATTEMPT_LEFT,
+        /** Its time is over. */
+        TIME_OVER
+    }
+
     /** What a load report may hold; QUEUE is the requests in hand. */
     enum Field { QUEUE, WAITING, BUSY, SERVICE_MS, RATE, ERROR_RATE, OTHER }
 
@@ -109,9 +123,9 @@
     record Answer(long query, boolean whole) implements Action { }
 
     /** Turned away with the promise that asking again does no harm. comeBack 0: no advice. */
-    record Refuse(long query, long comeBack) implements Action { }
+    record Refuse(long query, long comeBack, Reason reason) implements Action { }
 
-    record Fail(long query) implements Action { }
+    record Fail(long query, Reason reason) implements Action { }
 
     record Cancel(long part, int attempt) implements Action { }
 
--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -359,7 +359,7 @@
         // With nothing out nothing is learnt: one is tried, or times learnt in a bad moment stay for good.
         if (q.aimAt - now < asked && (q.aimAt <= now || now - stretchAt <= FRESH
                 || parts.values().stream().anyMatch(p -> p.out > 0)) || suspects.containsKey(q.key)) {
-            giveUp(q);
+            giveUp(q, suspects.containsKey(q.key) ? Reason.SUSPECT : Reason.EXPECTED_LATE);
         } else {
             late.forEach(p -> p.over = true);
         }
@@ -941,7 +941,7 @@
             if (q.key != 0 && killed) {
                 suspects.put(q.key, now);
             }
-            giveUp(q);
+            giveUp(q, Reason.SUSPECT);
             return;
         }
         List<Part> step = q.parts.stream().filter(p -> p.step == q.step).toList();
@@ -977,7 +977,7 @@
             if (enough) {
                 answer(q, false);
             } else {
-                giveUp(q);
+                giveUp(q, !lost ? Reason.TIME_OVER : unsent ? Reason.NEVER_SENT : Reason.NO_ATTEMPT_LEFT);
             }
         }
     }
@@ -997,7 +997,7 @@
     }
 
     /** The one place that ends a query without an answer: refused where that is provably harmless. */
-    private void giveUp(Query q) {
+    private void giveUp(Query q, Reason reason) {
         Effect effect = set.classes().get(q.cls).effect();
         boolean harmless = effect == Effect.SAFE || q.parts.stream()
                 .allMatch(p -> p.attempts.stream().noneMatch(a -> a.mayHaveRun));
@@ -1011,9 +1011,10 @@
             double late = q.predicted * stretch() - (q.aimAt - now);
             boolean sooner = late > 0 && now + late + time.base * scale[q.cls] < q.aimAt;
             double most = set.allowed().comeBack() ? set.allowed().longestComeBack() : 0;
-            out.add(new Refuse(q.id, (long) Math.min(most, sooner ? Math.max(late, time.base) : most)));
+            out.add(new Refuse(q.id, (long) Math.min(most, sooner ? Math.max(late, time.base) : most),
+                    reason));
         } else {
-            out.add(new Fail(q.id));
+            out.add(new Fail(q.id, reason));
         }
         close(q);
     }
--- a/coordinator/src/main/java/burlford/policy/Dispatcher.java
+++ b/coordinator/src/main/java/burlford/policy/Dispatcher.java
@@ -33,8 +33,8 @@
 
     public enum Verdict { ANSWERED, REFUSED, FAILED }
 
-    /** The final word on a query. comeBack: advice to a refused client, 0 for none. */
-    public record Ending(long query, Verdict verdict, boolean whole, long comeBack) { }
+    /** The final word on a query. comeBack: advice to a refused client, 0 for none. reason: null where answered. */
+    public record Ending(long query, Verdict verdict, boolean whole, long comeBack, Aggregator.Reason reason) { }
 
     /** What to do now, list by list in this order. wakeIn: call tick after so long; 0: no need. */
     public record Decisions(List<Cancel> cancels, List<String> closeIdle, List<Send> sends, List<String> probes,
@@ -155,11 +155,11 @@
             } else if (action instanceof Aggregator.DropIdle a) {
                 d.closeIdle.add(names.get(a.replica()));
             } else if (action instanceof Aggregator.Answer a) {
-                d.endings.add(new Ending(query(a.query()), Verdict.ANSWERED, a.whole(), 0));
+                d.endings.add(new Ending(query(a.query()), Verdict.ANSWERED, a.whole(), 0, null));
             } else if (action instanceof Aggregator.Refuse a) {
-                d.endings.add(new Ending(query(a.query()), Verdict.REFUSED, false, a.comeBack()));
+                d.endings.add(new Ending(query(a.query()), Verdict.REFUSED, false, a.comeBack(), a.reason()));
             } else if (action instanceof Aggregator.Fail a) {
-                d.endings.add(new Ending(query(a.query()), Verdict.FAILED, false, 0));
+                d.endings.add(new Ending(query(a.query()), Verdict.FAILED, false, 0, a.reason()));
             } else if (action instanceof Aggregator.SetAlarm a) {
                 wakeIn = wakeIn == 0 ? a.delay() : Math.min(wakeIn, a.delay());
             }
