Read discovery's list as a stream of JSON objects, not line by line

Cause: Watch cut the body at line breaks and parsed each line. Of an indented list the first line is '{', which is no JSON; the connection was closed, the whole list asked for again, and dropped again, for good. The protocol lets lists come indented.

Change: JsonObjectStream feeds Jackson's non-blocking parser with whatever pieces come and hands over each whole object; line breaks are white space. Half an object at the end of a connection is logged and not taken.

--- a/coordinator/src/main/java/burlford/discovery/Watch.java
+++ b/coordinator/src/main/java/burlford/discovery/Watch.java
@@ -4,16 +4,15 @@
 import burlford.core.Roster;
 import burlford.policy.Aggregator.ListKind;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.LineBasedFrameDecoder;
-import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -23,9 +22,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -36,7 +34,8 @@
 public final class Watch {
 
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
-    private static final int LONGEST_LINE = 1 << 20;
+    /** A whole list of 3,200 readers, indented, is about 1 MB. */
+    private static final int LONGEST_OBJECT_BYTES = 4 << 20;
     private static final long FIRST_WAIT = 50_000;
     private static final long LONGEST_WAIT = 1_000_000;
     /** An empty line comes every 2 s; after three missed the connection is given up. */
@@ -104,8 +103,7 @@
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel c) {
-                c.pipeline().addLast(new HttpClientCodec(), new Body(), new LineBasedFrameDecoder(LONGEST_LINE),
-                        new Lines());
+                c.pipeline().addLast(new HttpClientCodec(), new Body());
             }
         }).connect(address);
         channel = connecting.channel();
@@ -145,14 +143,10 @@
         silence = deadlines.at(roster.now() + SILENCE, c::close);
     }
 
-    private void line(String line) {
-        heard();
-        if (line.isBlank()) {
-            return;
-        }
-        roster.counters().add("discovery.lines");
+    private void take(JsonNode list) {
+        roster.counters().add("discovery.lists");
         try {
-            ListReader.Listing l = ListReader.read(json.readTree(line), roster.site().cells());
+            ListReader.Listing l = ListReader.read(list, roster.site().cells());
             if (l.complete() || fetch || l.revision() != revision) {
                 LOG.log(Level.INFO, "discovery: revision {0}, {1}, {2} readers named", new Object[] {
                     Long.toString(l.revision()), l.complete() ? "whole" : "changes", l.entries().size()});
@@ -161,39 +155,66 @@
             wait = FIRST_WAIT;
             fetch &= !l.complete();
             roster.listed(l.complete() ? ListKind.WHOLE : ListKind.CHANGES, l.entries());
-        } catch (ListReader.BadList | JsonProcessingException e) {
-            // The last list stays. What the line said is lost, so the whole list is fetched over again.
-            roster.counters().add("discovery.lines.bad");
-            String why = e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage();
-            LOG.log(Level.WARNING, "discovery: bad line of {0} characters: {1}", new Object[] {line.length(), why});
-            fetch = true;
-            channel.close();
+        } catch (ListReader.BadList e) {
+            unusable(e.getMessage());
         }
     }
 
-    /** The body's bytes, whatever chunks they come in; a body's end ends its last line and the connection. */
-    private final class Body extends MessageToMessageDecoder<HttpObject> {
+    /** The last list stays. What could not be read is lost, so the whole list is fetched over again. */
+    private void unusable(String why) {
+        roster.counters().add("discovery.lists.bad");
+        LOG.log(Level.WARNING, "discovery: bad list: {0}", why);
+        fetch = true;
+        channel.close();
+    }
+
+    /** The body of an answer, whatever chunks it comes in: JSON objects, and white space as a sign of life. */
+    private final class Body extends SimpleChannelInboundHandler<HttpObject> {
+        private JsonObjectStream objects;
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) throws IOException {
+            objects = new JsonObjectStream(json, LONGEST_OBJECT_BYTES);
+        }
+
         @Override
-        protected void decode(ChannelHandlerContext ctx, HttpObject in, List<Object> out) {
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject in) throws IOException {
             if (in instanceof HttpResponse r && r.status().code() != 200) {
                 LOG.log(Level.WARNING, "discovery answers {0}", r.status());
                 ctx.close();
-            } else if (in instanceof HttpContent c) {
-                out.add(c.content().retain());
+            } else if (in instanceof HttpContent c && isPresent(ctx)) {
+                read(ctx, ByteBufUtil.getBytes(c.content()));
                 if (in instanceof LastHttpContent) {
-                    out.add(ctx.alloc().buffer(1).writeByte('\n'));
-                    ctx.channel().eventLoop().execute(ctx::close);
+                    ctx.close();
                 }
             }
         }
-    }
 
-    private final class Lines extends SimpleChannelInboundHandler<ByteBuf> {
+        private boolean isPresent(ChannelHandlerContext ctx) {
+            return ctx.channel() == channel && ctx.channel().isOpen();
+        }
+
+        private void read(ChannelHandlerContext ctx, byte[] bytes) throws IOException {
+            try {
+                objects.feed(bytes, list -> {
+                    if (isPresent(ctx)) {
+                        take(list);
+                    }
+                });
+                if (bytes.length > 0 && !objects.inObject() && isPresent(ctx)) {
+                    heard();
+                }
+            } catch (JsonProcessingException e) {
+                unusable(e.getOriginalMessage());
+            }
+        }
+
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf in) {
-            if (ctx.channel() == channel && ctx.channel().isOpen()) {
-                line(in.toString(StandardCharsets.UTF_8));
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (objects.inObject()) {
+                LOG.log(Level.WARNING, "discovery: an answer ended in the middle of a list");
             }
+            ctx.fireChannelInactive();
         }
 
         @Override
