Ask discovery again beside a call that is silent, well before 6 s

Cause: Watch took a connection for dead 7 s after its last line, later than the 6 s after which what a silent watch misses counts as notified; a call that hung held up all others for another 7 s; and failed calls were repeated after up to 1 s, the whole grace of a drain.

Change: a watch without its heartbeat (2 s) is joined by another call after 2.5 s, a call without an answer after 0.6 s; the first that says something stays, so a slow discovery is still heard; at most eight are open. Failed calls are repeated after at most 0.25 s. The call itself is ListCall, Watch decides.

--- a/coordinator/src/main/java/burlford/discovery/Watch.java
+++ b/coordinator/src/main/java/burlford/discovery/Watch.java
@@ -3,57 +3,53 @@
 import burlford.core.Deadlines;
 import burlford.core.Roster;
 import burlford.policy.Aggregator.ListKind;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
  * Follows discovery: a watch from the last revision held, opened again whenever it ends. Where no list is
- * held, and after a line that could not be used, the whole list is fetched first.
+ * held, and after one that could not be used, the whole list is fetched first.
+ *
+ * <p>A call that stays silent is not waited for: another is opened beside it, and the first that says something stays,
+ * so that neither one that hangs nor one that is slow keeps a change back.
  */
 public final class Watch {
 
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
-    /** A whole list of 3,200 readers, indented, is about 1 MB. */
-    private static final int LONGEST_OBJECT_BYTES = 4 << 20;
-    private static final long FIRST_WAIT = 50_000;
-    private static final long LONGEST_WAIT = 1_000_000;
-    /** An empty line comes every 2 s; after three missed the connection is given up. */
-    private static final long SILENCE = 7_000_000;
     private static final String PATH = "/v1/servers";
+    /** After a call has ended; doubled each time without a list, within the grace of a drain. */
+    private static final long FIRST_RETRY_US = 50_000;
+    private static final long LONGEST_RETRY_US = 250_000;
+    /** An empty line comes every 2 s: a watch that says less has fallen silent. */
+    private static final long WATCH_SILENCE_US = 2_500_000;
+    /** A call that was never answered is joined by another after so long. */
+    private static final long CALL_SILENCE_US = 600_000;
+    /** A list that comes in pieces is waited for so long. */
+    private static final long LONGEST_LIST_US = 3_000_000;
+    /** Past this the oldest call is closed. */
+    private static final int MOST_CALLS = 8;
 
     private final Bootstrap bootstrap;
     private InetSocketAddress address;
     private final Roster roster;
     private final Deadlines deadlines;
     private final ObjectMapper json = new ObjectMapper();
+    private final Answers answers = new Answers();
+    /** Oldest first. */
+    private final Deque<ListCall> calls = new ArrayDeque<>();
     private long revision = -1;
     private boolean fetch;
-    private long wait = FIRST_WAIT;
-    private Channel channel;
+    private long retry = FIRST_RETRY_US;
     private Deadlines.Deadline silence;
     private Deadlines.Deadline opening;
     private boolean stopped;
+    private boolean answered;
 
     public Watch(Bootstrap bootstrap, InetSocketAddress address, Roster roster, Deadlines deadlines) {
         this.bootstrap = bootstrap;
@@ -78,12 +74,17 @@
             LOG.log(Level.INFO, "discovery: now at {0}", to);
             address = to;
             fetch = true;
-            wait = FIRST_WAIT;
+            retry = FIRST_RETRY_US;
             leave();
             open();
         }
     }
 
+    /** Discovery has answered a call since the start. */
+    public boolean isAnswered() {
+        return answered;
+    }
+
     public void stop() {
         stopped = true;
         leave();
@@ -92,135 +93,104 @@
     private void leave() {
         deadlines.cancel(silence);
         deadlines.cancel(opening);
-        Channel left = channel;
-        channel = null;
-        left.close();
+        calls.forEach(ListCall::close);
+        calls.clear();
     }
 
     private void open() {
-        boolean whole = fetch;
-        String uri = whole ? PATH : PATH + "?watch=1&from=" + revision;
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel c) {
-                c.pipeline().addLast(new HttpClientCodec(), new Body());
-            }
-        }).connect(address);
-        channel = connecting.channel();
-        Channel opened = channel;
-        connecting.addListener(f -> {
-            if (f.isSuccess()) {
-                DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
-                get.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
-                opened.writeAndFlush(get);
-                LOG.log(Level.FINE, "discovery: asked {0} {1}", new Object[] {address, uri});
-                roster.counters().add("discovery.connections");
-            } else {
-                LOG.log(Level.WARNING, "discovery: {0}", String.valueOf(f.cause().getMessage()));
-            }
-        });
-        opened.closeFuture().addListener(f -> {
-            if (opened == channel) {
-                LOG.log(Level.INFO, "discovery: connection to {0} ended at revision {1}; opened again in {2} ms",
-                        new Object[] {address, Long.toString(revision), wait / 1000});
-                again();
-            }
-        });
-        heard();
-    }
-
-    private void again() {
-        deadlines.cancel(silence);
-        if (!stopped) {
-            opening = deadlines.at(roster.now() + wait, this::open);
-            wait = Math.min(LONGEST_WAIT, wait * 2);
+        if (calls.size() >= MOST_CALLS) {
+            calls.removeFirst().close();
         }
+        String uri = fetch ? PATH : PATH + "?watch=1&from=" + revision;
+        LOG.log(Level.FINE, "discovery: asks {0} for {1}", new Object[] {address, uri});
+        roster.counters().add("discovery.connections");
+        ListCall call = new ListCall(address, uri, json, roster.now(), answers);
+        calls.addLast(call);
+        expectWithin(CALL_SILENCE_US);
+        call.open(bootstrap);
     }
 
-    private void heard() {
+    private void expectWithin(long wait) {
         deadlines.cancel(silence);
-        Channel c = channel;
-        silence = deadlines.at(roster.now() + SILENCE, c::close);
+        silence = deadlines.at(roster.now() + wait, () -> {
+            roster.counters().add("discovery.silent");
+            LOG.log(Level.INFO, "discovery: {0} is silent at revision {1}; asked again beside {2} calls",
+                    new Object[] {address, Long.toString(revision), calls.size()});
+            open();
+        });
     }
 
-    private void take(JsonNode list) {
-        roster.counters().add("discovery.lists");
-        try {
-            ListReader.Listing l = ListReader.read(list, roster.site().cells());
-            if (l.complete() || fetch || l.revision() != revision) {
-                LOG.log(Level.INFO, "discovery: revision {0}, {1}, {2} readers named", new Object[] {
-                    Long.toString(l.revision()), l.complete() ? "whole" : "changes", l.entries().size()});
-            }
-            revision = l.revision();
-            wait = FIRST_WAIT;
-            fetch &= !l.complete();
-            roster.listed(l.complete() ? ListKind.WHOLE : ListKind.CHANGES, l.entries());
-        } catch (ListReader.BadList e) {
-            unusable(e.getMessage());
-        }
+    /** This call says something: the others are not needed. */
+    private void keepOnly(ListCall call) {
+        calls.stream().filter(c -> c != call).forEach(ListCall::close);
+        calls.removeIf(c -> c != call);
     }
 
-    /** The last list stays. What could not be read is lost, so the whole list is fetched over again. */
-    private void unusable(String why) {
-        roster.counters().add("discovery.lists.bad");
-        LOG.log(Level.WARNING, "discovery: bad list: {0}", why);
-        fetch = true;
-        channel.close();
+    private void take(ListReader.Listing list) {
+        if (list.complete() || list.revision() != revision) {
+            LOG.log(Level.INFO, "discovery: revision {0}, {1}, {2} readers named", new Object[] {
+                Long.toString(list.revision()), list.complete() ? "whole" : "changes", list.entries().size()});
+        }
+        revision = list.revision();
+        retry = FIRST_RETRY_US;
+        fetch &= !list.complete();
+        roster.listed(list.complete() ? ListKind.WHOLE : ListKind.CHANGES, list.entries());
     }
 
-    /** The body of an answer, whatever chunks it comes in: JSON objects, and white space as a sign of life. */
-    private final class Body extends SimpleChannelInboundHandler<HttpObject> {
-        private JsonObjectStream objects;
+    private final class Answers implements ListCall.Listener {
 
         @Override
-        public void handlerAdded(ChannelHandlerContext ctx) throws IOException {
-            objects = new JsonObjectStream(json, LONGEST_OBJECT_BYTES);
+        public void began(ListCall call) {
+            answered = true;
+            keepOnly(call);
+            expectWithin(fetch ? CALL_SILENCE_US : WATCH_SILENCE_US);
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, HttpObject in) throws IOException {
-            if (in instanceof HttpResponse r && r.status().code() != 200) {
-                LOG.log(Level.WARNING, "discovery answers {0}", r.status());
-                ctx.close();
-            } else if (in instanceof HttpContent c && isPresent(ctx)) {
-                read(ctx, ByteBufUtil.getBytes(c.content()));
-                if (in instanceof LastHttpContent) {
-                    ctx.close();
-                }
+        public void progressed(ListCall call) {
+            if (roster.now() - call.openedAt < LONGEST_LIST_US) {
+                expectWithin(CALL_SILENCE_US);
             }
         }
 
-        private boolean isPresent(ChannelHandlerContext ctx) {
-            return ctx.channel() == channel && ctx.channel().isOpen();
+        @Override
+        public void heard(ListCall call) {
+            keepOnly(call);
+            expectWithin(WATCH_SILENCE_US);
         }
 
-        private void read(ChannelHandlerContext ctx, byte[] bytes) throws IOException {
+        @Override
+        public void listed(ListCall call, JsonNode list) {
+            keepOnly(call);
+            roster.counters().add("discovery.lists");
             try {
-                objects.feed(bytes, list -> {
-                    if (isPresent(ctx)) {
-                        take(list);
-                    }
-                });
-                if (bytes.length > 0 && !objects.inObject() && isPresent(ctx)) {
-                    heard();
-                }
-            } catch (JsonProcessingException e) {
-                unusable(e.getOriginalMessage());
+                take(ListReader.read(list, roster.site().cells()));
+            } catch (ListReader.BadList e) {
+                unusable(call, e.getMessage());
             }
         }
 
+        /** The last list stays. What could not be read is lost, so the whole list is fetched over again. */
         @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            if (objects.inObject()) {
-                LOG.log(Level.WARNING, "discovery: an answer ended in the middle of a list");
-            }
-            ctx.fireChannelInactive();
+        public void unusable(ListCall call, String why) {
+            roster.counters().add("discovery.lists.bad");
+            LOG.log(Level.WARNING, "discovery: bad list: {0}", why);
+            fetch = true;
+            call.close();
+            ended(call, "bad list");
         }
 
         @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            LOG.log(Level.WARNING, "discovery: {0}", String.valueOf(cause.getMessage()));
-            ctx.close();
+        public void ended(ListCall call, String why) {
+            LOG.log(Level.INFO, "discovery: connection to {0} at revision {1}: {2}", new Object[] {address,
+                Long.toString(revision), why});
+            calls.remove(call);
+            if (calls.isEmpty() && !stopped) {
+                deadlines.cancel(silence);
+                deadlines.cancel(opening);
+                opening = deadlines.at(roster.now() + retry, Watch.this::open);
+                retry = Math.min(LONGEST_RETRY_US, retry * 2);
+            }
         }
     }
 }
