Report a failed socket() of an outbound connection on the event loop

What callers saw: under failing system calls (EMFILE, ENFILE, ENOBUFS, ENOMEM at socket()) queries without an answer and parts at readers that had drained.

Cause: where no socket can be made, Netty's Bootstrap returns a future of a channel that has no event loop, and calls its listeners on the thread of GlobalEventExecutor. ReaderConnection ran the coordinator there, beside the event loop, over maps that only that loop may touch; Watch and its timers called close() on that channel, which throws, so that discovery was never asked again.

Evidence: ReaderSocketsTest.failedSocketIsReportedOnTheEventLoop and WatchTest.failedSocketIsTriedAgain failed before: no end on the event loop, 'channel not registered to an event loop' on GlobalEventExecutor, no further call to discovery.

Change: net.Connector reports every end of a connection attempt on the event loop, after it has returned. Readers, discovery and the store's peers connect through it (the store's had the same fault).

--- a/coordinator/src/main/java/burlford/discovery/ListCall.java
+++ b/coordinator/src/main/java/burlford/discovery/ListCall.java
@@ -1,14 +1,13 @@
 package burlford.discovery;
 
+import burlford.net.Connector;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -67,27 +66,16 @@
     }
 
     void open(Bootstrap bootstrap) {
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel c) {
-                c.pipeline().addLast(new HttpClientCodec(), new Body());
-            }
-        }).connect(address);
-        channel = connecting.channel();
-        connecting.addListener(f -> {
-            if (f.isSuccess()) {
-                request();
-            } else {
-                end("no connection: " + f.cause().getMessage());
-            }
-        });
-        channel.closeFuture().addListener(f -> end("closed"));
+        channel = Connector.connect(bootstrap, address, this::request,
+                cause -> end("no connection: " + cause.getMessage()), new HttpClientCodec(), new Body());
     }
 
     /** Ends it; nothing more of it is told. */
     void close() {
         over = true;
-        channel.close();
+        if (channel != null) {
+            channel.close();
+        }
     }
 
     private void request() {
--- a/coordinator/src/main/java/burlford/servers/ReaderConnection.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderConnection.java
@@ -3,12 +3,11 @@
 import burlford.core.Call;
 import burlford.core.Deadlines;
 import burlford.core.ReaderEntry;
+import burlford.net.Connector;
 import burlford.policy.Aggregator.Outcome;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderException;
@@ -99,24 +98,24 @@
                 close();
             }
         });
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel c) {
-                c.pipeline().addLast(frames, new Frame.Decoder(), ReaderConnection.this);
-            }
-        }).connect(address);
-        channel = connecting.channel();
-        connecting.addListener(f -> {
-            pool.deadlines().cancel(connectBy);
-            if (!f.isSuccess()) {
-                closed();
-            } else if (!closed) {
-                up = true;
-                calls.values().forEach(this::write);
-                probes.forEach(p -> write(Frame.of('U', "")));
-                rest();
-            }
-        });
+        channel = Connector.connect(bootstrap, address, this::connected, this::notConnected, frames,
+                new Frame.Decoder(), this);
+    }
+
+    private void connected() {
+        pool.deadlines().cancel(connectBy);
+        if (!closed) {
+            up = true;
+            calls.values().forEach(this::write);
+            probes.forEach(p -> write(Frame.of('U', "")));
+            rest();
+        }
+    }
+
+    private void notConnected(Throwable cause) {
+        pool.counters().add("readers.connections.failed");
+        LOG.log(Level.FINE, "reader {0}: no connection: {1}", new Object[] {reader, cause.getMessage()});
+        closed();
     }
 
     /** Takes nothing new and closes once nothing is out: its reader has started anew or is going. */
--- a/coordinator/src/main/java/burlford/store/Peers.java
+++ b/coordinator/src/main/java/burlford/store/Peers.java
@@ -3,6 +3,7 @@
 import io.microraft.RaftEndpoint;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.transport.Transport;
+import burlford.net.Connector;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -101,7 +102,7 @@
             c = connect(to);
         }
         // What comes while the connection opens is dropped: the sender says it again.
-        if (c.isActive()) {
+        if (c != null && c.isActive()) {
             try {
                 c.writeAndFlush(Unpooled.wrappedBuffer(Codec.encode(message)));
             } catch (IOException e) {
@@ -111,20 +112,16 @@
     }
 
     private Channel connect(String to) {
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel c) {
-                c.pipeline().addLast(new LengthFieldPrepender(4), receive(m -> { }));
-            }
-        }).connect(addresses.get(to));
-        channels.put(to, connecting.channel());
-        connecting.addListener(f -> {
-            if (f.isSuccess()) {
-                reachable.add(to);
-            }
-        });
-        connecting.channel().closeFuture().addListener(f -> reachable.remove(to));
-        return connecting.channel();
+        Channel channel = Connector.connect(bootstrap, addresses.get(to), () -> reachable.add(to),
+                cause -> LOG.log(Level.FINE, "store: no connection to " + to, cause), new LengthFieldPrepender(4),
+                receive(m -> { }));
+        if (channel == null) {
+            channels.remove(to);
+            return null;
+        }
+        channels.put(to, channel);
+        channel.closeFuture().addListener(f -> reachable.remove(to));
+        return channel;
     }
 
     @Override
--- a/coordinator/src/test/java/burlford/ArchitectureTest.java
+++ b/coordinator/src/test/java/burlford/ArchitectureTest.java
@@ -23,6 +23,7 @@
                 .layer("policy").definedBy("burlford.policy")
                 .layer("settings").definedBy("burlford.settings")
                 .layer("core").definedBy("burlford.core")
+                .layer("net").definedBy("burlford.net")
                 .layer("lanes").definedBy("burlford.lanes")
                 .layer("clients").definedBy("burlford.clients")
                 .layer("fronts").definedBy("burlford.search", "burlford.store")
@@ -38,6 +39,7 @@
                 .whereLayer("clients").mayOnlyBeAccessedByLayers("fronts", "daemon")
                 .whereLayer("lanes").mayOnlyBeAccessedByLayers("daemon")
                 .whereLayer("core").mayOnlyBeAccessedByLayers("clients", "fronts", "readers", "lanes", "daemon")
+                .whereLayer("net").mayOnlyBeAccessedByLayers("fronts", "readers", "daemon")
                 .whereLayer("settings").mayOnlyBeAccessedByLayers("adapter", "daemon", "command")
                 .check(CLASSES);
     }
--- /dev/null
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -0,0 +1,155 @@
+package burlford.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlford.core.Alone;
+import burlford.core.Census;
+import burlford.core.Client;
+import burlford.core.Coordinator;
+import burlford.core.Query;
+import burlford.core.ReaderEntry;
+import burlford.policy.Aggregator.ListKind;
+import burlford.policy.Aggregator.Status;
+import burlford.policy.Dispatcher;
+import burlford.servers.ReaderPool;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelException;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.SocketException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Connections to readers that fail or come up late, between a coordinator and stand-in readers on the loopback. */
+class ReaderSocketsTest {
+
+    private static final long REAL_PATIENCE_NS = 20_000_000_000L;
+    private static final long DEADLINE_US = 4_000_000;
+
+    private final HeldReader.Audit audit = new HeldReader.Audit();
+    private final List<HeldReader> readers = new ArrayList<>();
+    private final HeldResolver held = new HeldResolver();
+    /** Sockets that cannot be made before one can. */
+    private final AtomicInteger failures = new AtomicInteger();
+    private final List<String> ends = new ArrayList<>();
+    private final List<Thread> threads = new ArrayList<>();
+    private Turns turns;
+    private Coordinator coordinator;
+
+    @AfterEach
+    void stop() throws IOException {
+        for (HeldReader r : readers) {
+            r.close();
+        }
+    }
+
+    /** A coordinator with so many readers, each of which holds every shard. */
+    private void start(int count, Consumer<ObjectNode> settings) throws Exception {
+        ObjectNode configuration;
+        try (InputStream in = ReaderSocketsTest.class.getResourceAsStream("/configuration.json")) {
+            configuration = (ObjectNode) new ObjectMapper().readTree(in);
+        }
+        ((ObjectNode) configuration.at("/settings/familyInfo")).put("reach", 3);
+        settings.accept((ObjectNode) configuration.get("settings"));
+        Path file = Files.createTempFile("burlford", ".json");
+        file.toFile().deleteOnExit();
+        Files.writeString(file, configuration.toString());
+        Shared shared = new Shared(Configuration.load(Map.of("PROXY_CONFIG", file.toString())), null);
+        turns = new Turns(Thread.currentThread(), shared.clock);
+        coordinator = new Coordinator(shared.setup().site(), Lane.dispatcher(shared.setup(), 0, 1), new Alone(),
+                turns.deadlines, turns.counters, turns.clock);
+        Bootstrap out = new Bootstrap().group(turns.loop).resolver(held).channelFactory(() -> {
+            if (failures.getAndDecrement() > 0) {
+                throw new ChannelException(new SocketException("Too many open files"));
+            }
+            return new NioSocketChannel();
+        });
+        coordinator.connect(new ReaderPool(out, coordinator, turns.deadlines, Census.alone(), () -> 100));
+        List<ReaderEntry> entries = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            readers.add(new HeldReader(audit));
+            entries.add(entry(i, Status.READY));
+        }
+        coordinator.listed(ListKind.WHOLE, entries);
+    }
+
+    private ReaderEntry entry(int i, Status status) {
+        return new ReaderEntry("s" + i, "127.0.0.1", readers.get(i).port(), "", 0, status, 1, 0);
+    }
+
+    private long ask(String id) {
+        Query query = new Query(id, 1, 0, 7, false, turns.now() + DEADLINE_US, "e".getBytes(),
+                List.of(new Dispatcher.Part(0, 1, 0, 7)));
+        return coordinator.take(query, new Client() {
+            @Override
+            public void answered(boolean whole, Map<Integer, String> values) {
+                end("answered");
+            }
+
+            @Override
+            public void refused(long retryAfter) {
+                end("refused");
+            }
+
+            @Override
+            public void failed(String why) {
+                end("failed");
+            }
+        });
+    }
+
+    private void end(String how) {
+        ends.add(how);
+        threads.add(Thread.currentThread());
+    }
+
+    private void until(BooleanSupplier done) {
+        long limit = System.nanoTime() + REAL_PATIENCE_NS;
+        while (!done.getAsBoolean()) {
+            assertThat(System.nanoTime()).as("did not come to pass").isLessThan(limit);
+            turn();
+        }
+    }
+
+    private void turn() {
+        turns.loop.runNow();
+        turns.deadlines.sweep(turns.now());
+        Thread.yield();
+    }
+
+    /** Lets a further query through on the same connection: what was to be sent before it has been sent by then. */
+    private void letAnotherThrough() {
+        ask("after");
+        until(() -> ends.contains("answered"));
+    }
+
+    /** Guards against a failed socket() that was told to the coordinator on another thread, beside its event loop. */
+    @Test
+    void failedSocketIsReportedOnTheEventLoop() throws Exception {
+        start(2, s -> { });
+        held.letThrough();
+        failures.set(1);
+        ask("q");
+        until(() -> !ends.isEmpty());
+        assertThat(ends).containsExactly("answered");
+        assertThat(threads).containsExactly(Thread.currentThread());
+        failures.set(100);
+        coordinator.listed(ListKind.CHANGES, List.of(entry(0, Status.GONE), entry(1, Status.GONE)));
+        coordinator.listed(ListKind.CHANGES, List.of(entry(0, Status.READY), entry(1, Status.READY)));
+        ask("q2");
+        until(() -> ends.size() == 2);
+        assertThat(ends).containsExactly("answered", "refused");
+        assertThat(threads).containsOnly(Thread.currentThread());
+    }
+}
--- a/coordinator/src/test/java/burlford/discovery/WatchTest.java
+++ b/coordinator/src/test/java/burlford/discovery/WatchTest.java
@@ -14,12 +14,15 @@
 import burlford.policy.Aggregator.ListKind;
 import burlford.policy.Aggregator.Status;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ManualIoEventLoop;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -40,6 +43,8 @@
     private final Counters counters = new Counters();
     private final List<String> told = new ArrayList<>();
     private long now = 100 * SECOND;
+    /** Sockets that cannot be made before one can. */
+    private final AtomicInteger failures = new AtomicInteger();
     private DiscoveryStandIn discovery;
     private Watch watch;
 
@@ -76,8 +81,13 @@
     @BeforeEach
     void start() throws IOException {
         discovery = new DiscoveryStandIn();
-        watch = new Watch(new Bootstrap().group(loop).channel(NioSocketChannel.class), discovery.address(), roster,
-                deadlines);
+        Bootstrap bootstrap = new Bootstrap().group(loop).channelFactory(() -> {
+            if (failures.getAndDecrement() > 0) {
+                throw new ChannelException(new SocketException("Too many open files"));
+            }
+            return new NioSocketChannel();
+        });
+        watch = new Watch(bootstrap, discovery.address(), roster, deadlines);
         watch.start(new ListReader.Listing(41, true, List.of(
                 new ReaderEntry("s1", "127.0.0.1", 9, "", 0, Status.READY, 1, 0))));
         until(() -> discovery.connections() == 1);
@@ -147,6 +157,21 @@
         until(() -> told.contains("s1 DRAINING"));
     }
 
+    /** Guards against the watch's end for good where a socket could not be made once. */
+    @Test
+    void failedSocketIsTriedAgain() throws IOException {
+        failures.set(3);
+        discovery.send(0, HEAD + chunk("oops"));
+        until(() -> counters.get("discovery.lists.bad") == 1);
+        for (long end = now + SECOND; now < end; now += STEP) {
+            deadlines.sweep(now);
+            loop.runNow();
+        }
+        until(() -> discovery.connections() == 2);
+        discovery.send(1, HEAD + chunk(list(42, true, member("s1", "Terminating"))));
+        until(() -> told.contains("s1 DRAINING"));
+    }
+
     /** A watch that goes on saying that nothing changed is not opened anew. */
     @Test
     void watchWithHeartbeatsStays() throws IOException {
