Accept again at once after a failed accept, without a pause and without spinning

What callers saw: requests on connections that the machine had accepted got no answer in time.

Cause: Netty's ServerBootstrapAcceptor answers every failed accept with a pause of the listener of one second; with deadlines of 0.3 to 2 s what waits in the backlog meanwhile is lost. A socket() that failed for a moment at the start ended the start.

Change: net.AcceptErrors takes the error before Netty's acceptor. The next accept follows at once; after three failures on end after 1 to 16 ms, and then a connection that waits for nothing is closed to free a descriptor. clients.accepts.failed counts them. Turns.bind tries a failed socket() again for 10 s; listenerIsBoundThoughTheFirstSocketsFail guards it.

--- a/coordinator/src/main/java/burlford/daemon/Daemon.java
+++ b/coordinator/src/main/java/burlford/daemon/Daemon.java
@@ -3,6 +3,7 @@
 import burlford.core.Roster;
 import burlford.discovery.Watch;
 import burlford.inventory.Inventory;
+import burlford.net.AcceptErrors;
 import burlford.policy.Aggregator.ListKind;
 import burlford.store.MemoryStore;
 import burlford.store.ReplicatedStore;
@@ -199,8 +200,10 @@
                 .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 512)
                 .childOption(ChannelOption.TCP_NODELAY, true);
         taker.accept(listener);
-        ChannelFuture bound = listener.bind(at);
-        turns.bound(bound, at);
+        ChannelFuture bound = turns.bind(listener, at);
+        bound.channel().pipeline().addFirst(new AcceptErrors(
+                (wait, action) -> turns.deadlines.at(turns.now() + wait, action),
+                () -> turns.counters.add("clients.accepts.failed"), serving::makeRoom));
         LOG.log(Level.INFO, "{0} serves {1} at {2}", new Object[] {shared.configuration().name(), what,
             NetUtil.toSocketAddressString((InetSocketAddress) bound.channel().localAddress())});
         listeners.add(bound.channel());
--- a/coordinator/src/main/java/burlford/daemon/Lanes.java
+++ b/coordinator/src/main/java/burlford/daemon/Lanes.java
@@ -399,6 +399,11 @@
         return turns.now();
     }
 
+    @Override
+    public void makeRoom() {
+        tell(lane -> lane.lane.connections.makeRoom());
+    }
+
     // ---- the end
 
     @Override
--- a/coordinator/src/main/java/burlford/daemon/OneLane.java
+++ b/coordinator/src/main/java/burlford/daemon/OneLane.java
@@ -56,6 +56,11 @@
         lane.connections.limit(configuration.sockets());
     }
 
+    @Override
+    public void makeRoom() {
+        lane.connections.makeRoom();
+    }
+
     @Override
     public void drain() {
         lane.drain();
--- a/coordinator/src/main/java/burlford/daemon/Serving.java
+++ b/coordinator/src/main/java/burlford/daemon/Serving.java
@@ -27,6 +27,9 @@
     /** The limits of the process. */
     void limit(Configuration configuration);
 
+    /** No descriptor is left for a new connection: one that waits for nothing may go. */
+    void makeRoom();
+
     void drain();
 
     /** Told to stop, and all is answered. */
--- a/coordinator/src/main/java/burlford/daemon/Turns.java
+++ b/coordinator/src/main/java/burlford/daemon/Turns.java
@@ -2,6 +2,8 @@
 
 import burlford.core.Counters;
 import burlford.core.Deadlines;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ManualIoEventLoop;
 import io.netty.channel.nio.NioIoHandler;
@@ -20,6 +22,8 @@
 
     private static final Logger LOG = Logger.getLogger(Turns.class.getName());
     private static final long LONGEST_TURN = 1_000_000;
+    private static final long LONGEST_BIND = 10_000_000;
+    private static final long BIND_RETRY = 50_000;
     private static final long NEVER = Long.MIN_VALUE;
 
     final ManualIoEventLoop loop;
@@ -70,6 +74,22 @@
         woke = NEVER;
     }
 
+    /** Binds a listener; where no socket can be made for a moment, tries again for some seconds. */
+    ChannelFuture bind(ServerBootstrap listener, SocketAddress at) throws IOException {
+        long until = now() + LONGEST_BIND;
+        ChannelFuture binding = listener.bind(at);
+        while (isFailedSocket(binding) && now() < until) {
+            loop.run(TimeUnit.MICROSECONDS.toNanos(BIND_RETRY));
+            binding = listener.bind(at);
+        }
+        bound(binding, at);
+        return binding;
+    }
+
+    private static boolean isFailedSocket(ChannelFuture binding) {
+        return binding.isDone() && binding.cause() instanceof ChannelException;
+    }
+
     /** Turns until a listener is bound. */
     void bound(ChannelFuture binding, SocketAddress at) throws IOException {
         while (!binding.isDone()) {
--- a/coordinator/src/test/java/burlford/daemon/TurnsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/TurnsTest.java
@@ -2,6 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketException;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 /** A loop that was busy for long reads what has lain unread: its clients' time ran meanwhile. */
@@ -32,4 +41,20 @@
         assertThat(since[0]).isEqualTo(now - 1_000);
         turns.loop.shutdownGracefully();
     }
+
+    /** Guards against a start that was given up over one socket() that failed for a moment. */
+    @Test
+    void listenerIsBoundThoughTheFirstSocketsFail() throws Exception {
+        Turns turns = new Turns(Thread.currentThread(), () -> System.nanoTime() / 1000);
+        AtomicInteger failures = new AtomicInteger(2);
+        ServerBootstrap listener = new ServerBootstrap().group(turns.loop).channelFactory(() -> {
+            if (failures.getAndDecrement() > 0) {
+                throw new ChannelException(new SocketException("Too many open files"));
+            }
+            return new NioServerSocketChannel();
+        }).childHandler(new ChannelInboundHandlerAdapter());
+        ChannelFuture bound = turns.bind(listener, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        assertThat(bound.channel().isActive()).isTrue();
+        bound.channel().close();
+    }
 }
