Take back parts that wait for a connection to a reader that drains or is gone

Cause: a part is given to a connection when it is decided; the frame is written when the connection comes up, up to the connect time-out later. A change of the list in between was not looked at.

Evidence: ReaderSocketsTest holds a connection back, drains or removes the reader, and lets the connection come up: partIsNotSentToAReaderThatDrained... and ...ThatWentBeforeItsConnectionCameUp failed before, the frame arrived.

Change: after each list, calls of which nothing was written yet are withdrawn from readers that are not ready; they end as MOOT (never ran), so the module may send them elsewhere at once.

--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -21,6 +21,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -377,12 +378,31 @@
             }
         }
         told(kind, entries);
+        withdrawFromUnready();
         if (first) {
             LOG.log(Level.INFO, "list of readers: {0}, from a list of kind {1}", new Object[] {list.size(), kind});
         }
         onListed.run();
     }
 
+    /** What waits for a connection to a reader that takes nothing new is not sent there when it comes up. */
+    private void withdrawFromUnready() {
+        for (Open o : List.copyOf(queries.values())) {
+            withdrawUnsent(o, call -> {
+                ReaderEntry reader = list.get(call.send.reader());
+                return reader == null || reader.status() != Status.READY;
+            });
+        }
+    }
+
+    private void withdrawUnsent(Open o, Predicate<Call> which) {
+        for (Call call : List.copyOf(o.calls.values())) {
+            if (!call.ended && which.test(call) && readers.withdraw(call)) {
+                ended(call, Outcome.MOOT, null, NO_LOAD);
+            }
+        }
+    }
+
     private static void logTransition(ReaderEntry before, ReaderEntry after) {
         Status was = before == null ? Status.GONE : before.status();
         boolean restarted = before != null && before.startedAt() != after.startedAt();
--- a/coordinator/src/main/java/burlford/core/Readers.java
+++ b/coordinator/src/main/java/burlford/core/Readers.java
@@ -9,6 +9,9 @@
     /** Gives a call up: the reader is told, and nothing more is reported of it. */
     void giveUp(Call call);
 
+    /** Takes back a call of which nothing was written yet; false: it may be on its way. */
+    boolean withdraw(Call call);
+
     /** Asks a reader for its load; ends by one report to the coordinator. */
     void probe(String reader);
 
--- a/coordinator/src/main/java/burlford/servers/ReaderConnection.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderConnection.java
@@ -36,9 +36,10 @@
     /** So many ids given up are remembered: not all of them are answered. */
     private static final int MOST_GIVEN_UP = 256;
 
-    /** A call on this connection, and whether its frame's last byte has been written. */
+    /** A call on this connection, and whether its frame's first byte may, and its last has been written. */
     private static final class Carried {
         final Call call;
+        boolean begun;
         boolean written;
 
         Carried(Call call) {
@@ -172,6 +173,7 @@
         System.arraycopy(line, 0, rest, 0, line.length);
         System.arraycopy(c.call.text, 0, rest, line.length, c.call.text.length);
         listen();
+        c.begun = true;
         channel.writeAndFlush(new Frame('D', rest).encode()).addListener(f -> c.written = f.isSuccess());
     }
 
@@ -192,6 +194,16 @@
         rest();
     }
 
+    /** Takes a call back that waits for the connection to come up; false where its frame may be on its way. */
+    boolean withdraw(Call call) {
+        if (calls.get(call.partId).begun) {
+            return false;
+        }
+        calls.remove(call.partId);
+        rest();
+        return true;
+    }
+
     void probe() {
         stir();
         Probe p = new Probe(pool.now(), new Deadlines.Deadline[1], new boolean[1]);
--- a/coordinator/src/main/java/burlford/servers/ReaderPool.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderPool.java
@@ -66,6 +66,16 @@
         }
     }
 
+    @Override
+    public boolean withdraw(Call call) {
+        for (ReaderConnection c : List.copyOf(connections.getOrDefault(call.send.reader(), List.of()))) {
+            if (c.carries(call)) {
+                return c.withdraw(call);
+            }
+        }
+        return false;
+    }
+
     @Override
     public void probe(String reader) {
         ReaderConnection on = connection(reader, ReaderConnection::hasRoom, c -> true);
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -20,6 +20,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -36,6 +37,7 @@
 
     private static final long REAL_PATIENCE_NS = 20_000_000_000L;
     private static final long DEADLINE_US = 4_000_000;
+    private static final long SHORT_DEADLINE_US = 300_000;
 
     private final HeldReader.Audit audit = new HeldReader.Audit();
     private final List<HeldReader> readers = new ArrayList<>();
@@ -89,7 +91,11 @@
     }
 
     private long ask(String id) {
-        Query query = new Query(id, 1, 0, 7, false, turns.now() + DEADLINE_US, "e".getBytes(),
+        return askFor(id, DEADLINE_US);
+    }
+
+    private long askFor(String id, long deadline) {
+        Query query = new Query(id, 1, 0, 7, false, turns.now() + deadline, "e".getBytes(StandardCharsets.UTF_8),
                 List.of(new Dispatcher.Part(0, 1, 0, 7)));
         return coordinator.take(query, new Client() {
             @Override
@@ -152,4 +158,32 @@
         assertThat(ends).containsExactly("answered", "refused");
         assertThat(threads).containsOnly(Thread.currentThread());
     }
+
+    /** Guards against a part sent to a reader that had drained while the connection to it was coming up. */
+    @Test
+    void partIsNotSentToAReaderThatDrainedBeforeItsConnectionCameUp() throws Exception {
+        start(1, s -> { });
+        ask("q");
+        until(() -> held.held() == 1);
+        coordinator.listed(ListKind.CHANGES, List.of(entry(0, Status.DRAINING)));
+        held.letThrough();
+        coordinator.listed(ListKind.CHANGES, List.of(entry(0, Status.READY)));
+        until(() -> !ends.isEmpty());
+        assertThat(ends).containsExactly("answered");
+        assertThat(audit.attempts.get("q.0")).isEqualTo(1);
+        assertThat(turns.counters.get("attempts.moot")).isEqualTo(1);
+    }
+
+    /** Guards against a part sent to a reader that was gone from the list before the connection to it came up. */
+    @Test
+    void partIsNotSentToAReaderThatWentBeforeItsConnectionCameUp() throws Exception {
+        start(2, s -> { });
+        ask("q");
+        until(() -> held.held() == 1);
+        coordinator.listed(ListKind.WHOLE, List.of());
+        held.letThrough();
+        until(() -> !ends.isEmpty());
+        assertThat(ends).containsExactly("refused");
+        assertThat(audit.attempts).isEmpty();
+    }
 }
