Do not send parts of a query that ended while their connection was coming up

What callers saw: requests forwarded after they had ended or their client had left (rule lost), where connections to readers come up late and parts may not be cancelled (allowed.mayCancel false).

Cause: the end of a query takes back its parts only through the module's cancels, which that setting forbids; a part that still waited for its connection was written when it came up, seconds after the end.

Evidence: ReaderSocketsTest.partOfAClientThatLeftIsNotSent... and partOfAQueryThatEndedIsNotSent... failed before: the frame of the query that had ended arrived.

Change: at the end of a query calls of which nothing was written are withdrawn. That is no cancel: the reader never had them.

--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -213,8 +213,9 @@
                     o.query.deadline() - now(), o.values.size(), o.calls.size());
         }
         close(o);
-        settle(o);
         carryOut(o.dispatcher, o.dispatcher.report(now(), number));
+        withdrawUnsent(o, call -> true);
+        settle(o);
     }
 
     // ---- from the readers
@@ -395,6 +396,7 @@
         }
     }
 
+    /** Ends calls that still wait for a connection; without it a query that has ended would be sent on. */
     private void withdrawUnsent(Open o, Predicate<Call> which) {
         for (Call call : List.copyOf(o.calls.values())) {
             if (!call.ended && which.test(call) && readers.withdraw(call)) {
@@ -532,6 +534,7 @@
             case REFUSED -> o.client.refused(e.comeBack());
             case FAILED -> o.client.failed("no whole answer in time");
         }
+        withdrawUnsent(o, call -> true);
         settle(o);
     }
 
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -186,4 +186,28 @@
         assertThat(ends).containsExactly("refused");
         assertThat(audit.attempts).isEmpty();
     }
+
+    /** Guards against a part sent for a client that had left, where parts may not be cancelled. */
+    @Test
+    void partOfAClientThatLeftIsNotSentWhenItsConnectionComesUp() throws Exception {
+        start(1, s -> ((ObjectNode) s.get("allowed")).put("mayCancel", false));
+        long number = ask("q");
+        until(() -> held.held() == 1);
+        coordinator.left(number);
+        held.letThrough();
+        letAnotherThrough();
+        assertThat(audit.attempts.keySet()).containsExactly("after.0");
+        assertThat(coordinator.idle()).isTrue();
+    }
+
+    /** Guards against a part sent for a query that had been answered as failed, where parts may not be cancelled. */
+    @Test
+    void partOfAQueryThatEndedIsNotSentWhenItsConnectionComesUp() throws Exception {
+        start(1, s -> ((ObjectNode) s.get("allowed")).put("mayCancel", false));
+        askFor("q", SHORT_DEADLINE_US);
+        until(() -> !ends.isEmpty());
+        held.letThrough();
+        letAnotherThrough();
+        assertThat(audit.attempts.keySet()).containsExactly("after.0");
+    }
 }
