Serve a request once, however many come behind it on its connection

What callers saw: a request answered 409 as in conflict with itself, while its parts went on and were sent again after that answer (rule lost), from clients that send a request before the answer to the one before.

Cause: HttpConnection served the head of its queue whenever a further request was read, without a mark that the front had it already. PlatformFront took it a second time, found its id open and replied 409; the first taking stayed open, and nobody heard its end or could leave it.

Evidence: the transcript client-pipelines failed before: the second request reached the reader while the first was unanswered.

Change: an exchange in work is not served again.

--- a/coordinator/src/main/java/burlford/clients/Exchange.java
+++ b/coordinator/src/main/java/burlford/clients/Exchange.java
@@ -19,6 +19,8 @@
     /** What was wrong with it as HTTP; null when nothing was. */
     final Throwable fault;
     final boolean keepAlive;
+    /** Its front has it and will reply, now or later. */
+    boolean inWork;
     /** Bytes held for it until it is replied to. */
     int held;
     private Runnable onLeft;
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -272,6 +272,10 @@
         // Nor is anything served while the client does not read the replies that it has already.
         while (!waiting.isEmpty() && !ending && ctx.channel().isWritable()) {
             Exchange e = waiting.peek();
+            if (e.inWork) {
+                break;
+            }
+            e.inWork = true;
             if (crowded || e.fault instanceof BodyBudget.NoRoom) {
                 front.crowded(e);
             } else if (e.fault instanceof TooLongFrameException) {
--- a/coordinator/src/test/java/burlford/play/TranscriptTest.java
+++ b/coordinator/src/test/java/burlford/play/TranscriptTest.java
@@ -26,6 +26,8 @@
      * client asks, which may be on another lane, or they count lists, which each lane takes.
      */
     private static final Set<String> ONE_LANE = Set.of("client-leaves.txt",
+            "client-pipelines.txt",
+            "client-sends-many-and-leaves.txt",
             "connections-that-break.txt",
             "discovery-changes.txt",
             "discovery-list-on-several-lines.txt",
