Go on reading behind many requests on a connection, so that its client is seen to leave

Cause: with more than eight requests waiting on a connection HttpConnection stopped reading it, and a closed connection shows only when it is read; each further request was served in its turn.

Change: reading goes on.

--- a/coordinator/src/main/java/burlford/clients/CloseReason.java
+++ b/coordinator/src/main/java/burlford/clients/CloseReason.java
@@ -14,6 +14,8 @@
     ASKED,
     /** Its last request could not be used. */
     BAD_REQUEST,
+    /** Far more requests came at once than may wait. */
+    FLOODED,
     /** Descriptors are scarce. */
     SCARCE,
     /** The process shuts down. */
--- a/coordinator/src/main/java/burlford/clients/Exchange.java
+++ b/coordinator/src/main/java/burlford/clients/Exchange.java
@@ -21,6 +21,8 @@
     final boolean keepAlive;
     /** Its front has it and will reply, now or later. */
     boolean inWork;
+    /** One of too many that wait on its connection. */
+    boolean excess;
     /** Bytes held for it until it is replied to. */
     int held;
     private Runnable onLeft;
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -50,8 +50,10 @@
 
     private static final Logger LOG = Logger.getLogger(HttpConnection.class.getName());
     public static final int LONGEST_BODY = 64 * 1024;
-    /** Requests that may wait on one connection behind the one in work before it is read no further. */
+    /** Requests that may wait on one connection behind the one in work; those behind them are refused in turn. */
     private static final int MOST_WAITING = 8;
+    /** With so many, all that wait are refused and no more are read: the connection ends behind them. */
+    private static final int MOST_HELD = 64;
     /** From connecting, or from a later request's first byte, to its last: guards against slow and silent clients. */
     private static final long REQUEST_TIME = 2_000_000;
     /** A connection without a request is closed after so long: some clients ask once and never close. */
@@ -67,8 +69,8 @@
         /** Replies to what is not a usable request. */
         void reject(Exchange exchange, HttpResponseStatus status, String fault);
 
-        /** Refuses a request, as the front's clients know a refusal, because too many connections are open. */
-        void crowded(Exchange exchange);
+        /** Refuses a request, as the front's clients know a refusal, for want of room. */
+        void crowded(Exchange exchange, String why);
     }
 
     private final Front front;
@@ -81,6 +83,8 @@
     private boolean serving;
     private boolean ending;
     private boolean crowded;
+    /** The client sent far more requests at once than may wait. What still comes is thrown away, to see it leave. */
+    private boolean flooded;
     /** Some bytes of a request have come, and not yet its last. */
     private boolean begun;
     /** Nothing has come since the last byte of the last request. */
@@ -112,7 +116,7 @@
         @Override
         public void channelRead(ChannelHandlerContext c, Object message) {
             clean = false;
-            if (!ending) {
+            if (!ending && !flooded) {
                 arrived();
                 c.fireChannelRead(message);
                 return;
@@ -120,7 +124,7 @@
             // A body of 60 MB behind a 413, say, is not worth decoding.
             thrownAway += ((ByteBuf) message).readableBytes();
             ((ByteBuf) message).release();
-            if (thrownAway > MOST_THROWN_AWAY) {
+            if (ending && thrownAway > MOST_THROWN_AWAY) {
                 c.channel().config().setAutoRead(false);
             }
         }
@@ -237,7 +241,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext c, FullHttpRequest r) {
-        if (ending) {
+        if (ending || flooded) {
             return;
         }
         begun = false;
@@ -256,9 +260,11 @@
         Exchange e = new Exchange(this, r.method(), r.uri(), r.headers().copy(), fault != null ? new byte[0]
                 : ByteBufUtil.getBytes(r.content()), clock.getAsLong(), fault, fault == null && HttpUtil.isKeepAlive(r));
         e.held = fault == null ? size : 0;
+        e.excess = waiting.size() > MOST_WAITING;
         waiting.add(e);
-        if (waiting.size() > MOST_WAITING) {
-            c.channel().config().setAutoRead(false);
+        if (waiting.size() >= MOST_HELD) {
+            flooded = true;
+            waiting.stream().skip(1).forEach(w -> w.excess = true);
         }
         serveNext();
     }
@@ -277,7 +283,9 @@
             }
             e.inWork = true;
             if (crowded || e.fault instanceof BodyBudget.NoRoom) {
-                front.crowded(e);
+                front.crowded(e, "too many connections");
+            } else if (e.excess) {
+                front.crowded(e, "too many requests on one connection");
             } else if (e.fault instanceof TooLongFrameException) {
                 boolean body = e.method != HttpMethod.GET && String.valueOf(e.fault.getMessage()).contains("body");
                 front.reject(e, body ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
@@ -298,7 +306,7 @@
         waiting.remove(e);
         release(e);
         // Clients that ask once and keep their connection came so fast that all room was taken by them.
-        boolean close = !e.keepAlive || crowded || connections.scarce() || leaving.getAsBoolean();
+        boolean close = !e.keepAlive || crowded || flooded && waiting.isEmpty() || connections.scarce() || leaving.getAsBoolean();
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 e.method.equals(HttpMethod.HEAD) ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
@@ -328,9 +336,6 @@
             connections.resting(this);
             due(REST_TIME, () -> close(CloseReason.IDLE));
         }
-        if (waiting.size() <= MOST_WAITING) {
-            ctx.channel().config().setAutoRead(true);
-        }
         serveNext();
     }
 
@@ -341,6 +346,9 @@
         if (!e.keepAlive) {
             return CloseReason.ASKED;
         }
+        if (flooded) {
+            return CloseReason.FLOODED;
+        }
         return leaving.getAsBoolean() ? CloseReason.SHUTDOWN : CloseReason.SCARCE;
     }
 
--- a/coordinator/src/main/java/burlford/clients/PlatformFront.java
+++ b/coordinator/src/main/java/burlford/clients/PlatformFront.java
@@ -101,9 +101,9 @@
     }
 
     @Override
-    public void crowded(Exchange e) {
+    public void crowded(Exchange e, String why) {
         coordinator.counters().add("clients.requests.crowded");
-        e.reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "text/plain", "refused: too many connections\n",
+        e.reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "text/plain", "refused: " + why + "\n",
                 comeBack(coordinator.site().comeBack()));
     }
 
--- a/coordinator/src/main/java/burlford/search/SearchFront.java
+++ b/coordinator/src/main/java/burlford/search/SearchFront.java
@@ -97,10 +97,10 @@
     }
 
     @Override
-    public void crowded(Exchange e) {
+    public void crowded(Exchange e, String why) {
         coordinator.counters().add("clients.requests.crowded");
         reply(e, HttpResponseStatus.TOO_MANY_REQUESTS, error(HttpResponseStatus.TOO_MANY_REQUESTS, REJECTED,
-                "too many connections", Map.of()), false, Map.of());
+                why, Map.of()), false, Map.of());
     }
 
     private final class Reply implements Client {
--- a/coordinator/src/main/java/burlford/store/StoreFront.java
+++ b/coordinator/src/main/java/burlford/store/StoreFront.java
@@ -109,7 +109,7 @@
     }
 
     @Override
-    public void crowded(Exchange e) {
+    public void crowded(Exchange e, String why) {
         reject(e, HttpResponseStatus.SERVICE_UNAVAILABLE, "too many connections");
     }
 
--- a/coordinator/src/test/java/burlford/clients/BodyBudgetTest.java
+++ b/coordinator/src/test/java/burlford/clients/BodyBudgetTest.java
@@ -34,7 +34,7 @@
         }
 
         @Override
-        public void crowded(Exchange e) {
+        public void crowded(Exchange e, String why) {
             reject(e, HttpResponseStatus.SERVICE_UNAVAILABLE, "refused");
         }
     };
