Do not close a connection to make room once its first request has begun

What callers saw: a request read in part, then its connection closed with no answer (rule lost), where idle clients fill the descriptors and others write slowly.

Cause: a new connection stood among those 'silent', from which room is made, until its first request was whole; only later requests took it from there at their first byte.

Evidence: HttpConnectionTest.roomIsNotMadeOfAConnectionWhoseFirstRequestHasBegun failed before: the first client's connection was closed for the second.

Change: the first byte of any request takes the connection from those that room is made of; the newcomer is refused.

--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -219,8 +219,9 @@
     private void arrived() {
         if (waiting.isEmpty() && !begun) {
             begun = true;
-            if (connections.isResting(this)) {
-                connections.busy(this); // not closed for another over a request that has begun
+            boolean rested = connections.isResting(this);
+            connections.busy(this); // not closed for another over a request that has begun
+            if (rested) {
                 due(REQUEST_TIME, this::tooSlow);
             }
         }
--- /dev/null
+++ b/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
@@ -0,0 +1,94 @@
+package burlford.clients;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlford.core.Counters;
+import burlford.core.Crowd;
+import burlford.core.Deadlines;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What ends a client's connection, and what must not. */
+class HttpConnectionTest {
+
+    private static final String REQUEST = "POST /api/a HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}";
+    private static final int HALF = REQUEST.length() / 2;
+    /** Clients that stop in the middle of a request are owed an error or an end within this. */
+    private static final long OWED_TO_BAD_CLIENTS = 3_000_000;
+    /** One connection, and one to be refused. */
+    private static final int FEW_DESCRIPTORS = 2;
+    private static final int MANY_DESCRIPTORS = 1024;
+
+    private final Deadlines deadlines = new Deadlines();
+    private final Counters counters = new Counters();
+    private long now;
+
+    private final HttpConnection.Front front = new HttpConnection.Front() {
+        @Override
+        public void serve(Exchange e) {
+            e.reply(HttpResponseStatus.OK, "text/plain", "served", Map.of());
+        }
+
+        @Override
+        public void reject(Exchange e, HttpResponseStatus status, String fault) {
+            e.reply(status, "text/plain", fault, Map.of());
+        }
+
+        @Override
+        public void crowded(Exchange e, String why) {
+            reject(e, HttpResponseStatus.SERVICE_UNAVAILABLE, why);
+        }
+    };
+
+    private Connections connections(int descriptors) {
+        return new Connections(descriptors, Crowd.alone(1 << 20), counters, deadlines, () -> now);
+    }
+
+    private EmbeddedChannel client(Connections connections) {
+        return new EmbeddedChannel(HttpConnection.handlers(front, () -> now, () -> false, connections));
+    }
+
+    private static void send(EmbeddedChannel client, String text) {
+        client.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+    }
+
+    private static String reply(EmbeddedChannel client) {
+        StringBuilder text = new StringBuilder();
+        for (ByteBuf b = client.readOutbound(); b != null; b = client.readOutbound()) {
+            text.append(b.toString(StandardCharsets.US_ASCII));
+            b.release();
+        }
+        return text.toString();
+    }
+
+    /** Guards against closing a new connection to make room though its first request had begun to come in. */
+    @Test
+    void roomIsNotMadeOfAConnectionWhoseFirstRequestHasBegun() {
+        Connections few = connections(FEW_DESCRIPTORS);
+        EmbeddedChannel first = client(few);
+        send(first, REQUEST.substring(0, HALF));
+        EmbeddedChannel second = client(few);
+        send(second, REQUEST);
+        assertThat(reply(second)).startsWith("HTTP/1.1 503 ");
+        send(first, REQUEST.substring(HALF));
+        assertThat(reply(first)).startsWith("HTTP/1.1 200 ");
+    }
+
+    /** A connection that rests is served again, and ends only when it has rested for long. */
+    @Test
+    void restingConnectionIsServedAgain() {
+        EmbeddedChannel client = client(connections(MANY_DESCRIPTORS));
+        for (int i = 0; i < 3; i++) {
+            send(client, REQUEST);
+            assertThat(reply(client)).startsWith("HTTP/1.1 200 ");
+            now += OWED_TO_BAD_CLIENTS;
+            deadlines.sweep(now);
+        }
+        assertThat(client.isOpen()).isTrue();
+    }
+}
