Time a request that begins behind the one in work, and linger behind a flood

What callers saw: a connection closed after 5 s without an answer over half a request that had come behind another (rule lost; bad clients are owed an end within 3 s).

Cause: the first bytes of a request count only while nothing else is in work; after the reply the connection was taken for resting, and could be closed for room or after its rest.

Change: after a reply a connection of which further bytes have come is timed as a request that has begun. A flooded connection ends as one with a bad request does, with what still comes read and thrown away: closed over unread bytes it would be reset, and its replies lost.

--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -326,7 +326,7 @@
             connections.written();
         });
         if (close) {
-            if (e.fault != null && ctx.channel() instanceof DuplexChannel duplex) {
+            if ((e.fault != null || flooded) && ctx.channel() instanceof DuplexChannel duplex) {
                 written.addListener(f -> leave(duplex));
             } else {
                 written.addListener(ChannelFutureListener.CLOSE);
@@ -334,10 +334,20 @@
             return;
         }
         if (waiting.isEmpty()) {
+            awaitNext();
+        }
+        serveNext();
+    }
+
+    /** All that came is answered; but the next request may have begun behind it. */
+    private void awaitNext() {
+        if (clean) {
             connections.resting(this);
             due(REST_TIME, () -> close(CloseReason.IDLE));
+        } else {
+            begun = true;
+            due(REQUEST_TIME, this::tooSlow);
         }
-        serveNext();
     }
 
     private CloseReason closeReason(Exchange e) {
--- a/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
+++ b/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
@@ -79,6 +79,17 @@
         assertThat(reply(first)).startsWith("HTTP/1.1 200 ");
     }
 
+    /** Guards against resting a connection, for 5 s and without an answer, on which the next request had begun. */
+    @Test
+    void halfARequestBehindAnotherIsToldThatItTookTooLong() {
+        EmbeddedChannel client = client(connections(MANY_DESCRIPTORS));
+        send(client, REQUEST + REQUEST.substring(0, HALF));
+        assertThat(reply(client)).startsWith("HTTP/1.1 200 ");
+        now += OWED_TO_BAD_CLIENTS;
+        deadlines.sweep(now);
+        assertThat(reply(client)).startsWith("HTTP/1.1 408 ");
+    }
+
     /** A connection that rests is served again, and ends only when it has rested for long. */
     @Test
     void restingConnectionIsServedAgain() {
