End a shutdown before the kill where deadlines are short

What callers saw: requests of the last moments before the kill without an answer (rule lost), on deployments with deadlines under 0.6 s.

Cause: a stopping process served for at least 0.8 s and answered within 0.5 s more, while the kill comes 0.7 s behind the longest deadline: with 0.3 s at 1.0 s, 0.3 s before the last answers were due.

Change: ShutdownSchedule, a pure record, works all times out from the kill: answered 0.25 s before it (the process may be held up for 0.15 s), serving until the longest deadline and at least 0.5 s, connections end behind their answers in the last half of that, at most 0.5 s. With deadlines of 3 s and more nothing changes but the last answer, 0.05 s sooner.

--- a/coordinator/src/main/java/burlford/daemon/Shared.java
+++ b/coordinator/src/main/java/burlford/daemon/Shared.java
@@ -17,32 +17,14 @@
  */
 final class Shared {
 
-    /** After SIGTERM new connections keep coming for a while. */
-    private static final long LEAST_DRAIN = 800_000;
-    /**
-     * Those who stop us kill us no sooner than the longest deadline and 0.7 s after SIGTERM. Until the longest
-     * deadline is over we serve on the connections there are: the next coordinator may not be up yet. What comes
-     * then is answered before the kill, with time to spare, whatever its client would wait.
-     */
-    private static final long LONGEST_SERVING = 3_000_000;
-    private static final long ANSWERED_AFTER = 500_000;
-    /**
-     * So long before the end connections end behind their answers: one closed between requests may cross the next
-     * one, and that one was lost.
-     */
-    private static final long HANDING_OVER = 500_000;
-
     /** Settings checked and read; nothing of them is in force before {@link #adopt}. */
     record Setup(Configuration configuration, Site site, Aggregator.Settings module, OperatorFile operator) { }
 
-    /** When the process stops. From handOverAt on connections end behind their answers. */
-    private record Stop(long leaveAt, long stopAt, long handOverAt, long endBy) { }
-
     final LongSupplier clock = startClock();
     private final Path operatorPath;
     private final byte[] operatorText;
     private volatile Setup inForce;
-    private volatile Stop stop;
+    private volatile ShutdownSchedule stop;
 
     Shared(Configuration configuration, Path operatorFile) throws Configuration.Bad {
         operatorPath = operatorFile;
@@ -95,10 +77,7 @@
     // ---- stopping
 
     void drain() {
-        long now = now();
-        long serving = Math.max(LEAST_DRAIN, Math.min(LONGEST_SERVING, inForce.site().longestDeadline()));
-        stop = new Stop(now + LEAST_DRAIN, now + serving, now + Math.max(LEAST_DRAIN, serving - HANDING_OVER),
-                now + serving + ANSWERED_AFTER);
+        stop = ShutdownSchedule.of(now(), inForce.site().longestDeadline());
     }
 
     boolean draining() {
@@ -107,25 +86,25 @@
 
     /** Connections end behind their answers. */
     boolean handingOver() {
-        Stop s = stop;
-        return s != null && now() >= s.handOverAt;
+        ShutdownSchedule s = stop;
+        return s != null && now() >= s.handOverAt();
     }
 
     /** When the process may leave, once no client is connected; Long.MAX_VALUE while it is not to stop. */
     long leaveAt() {
-        Stop s = stop;
-        return s == null ? Long.MAX_VALUE : s.leaveAt;
+        ShutdownSchedule s = stop;
+        return s == null ? Long.MAX_VALUE : s.leaveAt();
     }
 
     /** When it leaves though clients are connected. */
     long stopAt() {
-        Stop s = stop;
-        return s == null ? Long.MAX_VALUE : s.stopAt;
+        ShutdownSchedule s = stop;
+        return s == null ? Long.MAX_VALUE : s.stopAt();
     }
 
     /** When all is to be answered, whatever clients would wait. */
     long endBy() {
-        Stop s = stop;
-        return s == null ? Long.MAX_VALUE : s.endBy;
+        ShutdownSchedule s = stop;
+        return s == null ? Long.MAX_VALUE : s.endBy();
     }
 }
