Answer queries that are open at SIGTERM before the kill too

What callers saw: with readers that hang through a shutdown, queries taken shortly before SIGTERM without an answer (rule lost) where deadlines pass 3 s: the kill comes 3.7 s after SIGTERM at the earliest.

Cause: the time by which all is to be answered bound queries taken after SIGTERM only.

Evidence: ReaderSocketsTest.queryThatIsOpenAtTheShutdownEndsByItsTime failed before: nothing was told.

Change: Coordinator.endBy also brings forward the last word of what is open; it ends as failed with the reason SHUTDOWN.

--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -154,9 +154,26 @@
 
     // ---- from the fronts
 
-    /** Whatever clients would wait, all is answered by then: the program goes. */
+    /** Whatever clients would wait, all is answered by then, also what is open now: the program goes. */
     public void endBy(long time) {
         endBy = time;
+        for (Open o : List.copyOf(queries.values())) {
+            if (!o.ended && o.query.deadline() > time) {
+                deadlines.cancel(o.lastWord);
+                o.lastWord = lastWord(o, time - LAST_WORD, Aggregator.Reason.SHUTDOWN);
+            }
+        }
+    }
+
+    /** Guards the rule that no query is lost, should the module not end it by itself. */
+    private Deadlines.Deadline lastWord(Open o, long at, Aggregator.Reason reason) {
+        return deadlines.at(at, () -> {
+            if (!o.ended) {
+                counters.add("queries.overdue");
+                end(o, new Ending(o.number, Dispatcher.Verdict.FAILED, false, 0, reason));
+                carryOut(o.dispatcher, o.dispatcher.report(now(), o.number));
+            }
+        });
     }
 
     /**
@@ -187,14 +204,7 @@
             trace("taken query=%s class=%d tenant=%d parts=%d left=%d", query.id(), query.queryClass(), query.tenant(),
                     query.parts().size(), query.deadline() - now());
         }
-        // Guards the rule that no query is lost, should the module not end it by itself.
-        o.lastWord = deadlines.at(query.deadline() - LAST_WORD, () -> {
-            if (!o.ended) {
-                counters.add("queries.overdue");
-                end(o, new Ending(number, Dispatcher.Verdict.FAILED, false, 0, Aggregator.Reason.TIME_OVER));
-                carryOut(o.dispatcher, o.dispatcher.report(now(), number));
-            }
-        });
+        o.lastWord = lastWord(o, query.deadline() - LAST_WORD, Aggregator.Reason.TIME_OVER);
         carryOut(dispatcher, dispatcher.pick(now(), number, query.queryClass(), query.tenant(), query.key(), query.retry(),
                 Math.max(0, query.deadline() - now()), query.parts()));
         return number;
--- a/coordinator/src/main/java/burlford/policy/Aggregator.java
+++ b/coordinator/src/main/java/burlford/policy/Aggregator.java
@@ -46,7 +46,9 @@
         /** Too few of its parts may still be sent again. */
         NO_ATTEMPT_LEFT,
         /** Its time is over. */
-        TIME_OVER
+        TIME_OVER,
+        /** The process ends before its time is over. */
+        SHUTDOWN
     }
 
     /** What a load report may hold; QUEUE is the requests in hand. */
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -210,4 +210,17 @@
         letAnotherThrough();
         assertThat(audit.attempts.keySet()).containsExactly("after.0");
     }
+
+    /** Guards against a query that the kill found unanswered: it was open at SIGTERM and its client would wait longer. */
+    @Test
+    void queryThatIsOpenAtTheShutdownEndsByItsTime() throws Exception {
+        start(1, s -> { });
+        ask("q");
+        until(() -> held.held() == 1);
+        long endBy = turns.now() + SHORT_DEADLINE_US;
+        coordinator.endBy(endBy);
+        until(() -> turns.now() >= endBy);
+        assertThat(ends).containsExactly("failed");
+        assertThat(turns.counters.get("queries.failed.shutdown")).isEqualTo(1);
+    }
 }
