--- a/coordinator/src/test/java/burlford/play/Program.java
+++ b/coordinator/src/test/java/burlford/play/Program.java
@@ -103,6 +103,10 @@
         new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
     }
 
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
     public void terminate() {
         process.toHandle().destroy(); // unlike Process.destroy, leaves its streams open
     }
