Answer a request whose front fails, and serve the next one on its connection

What callers saw: a connection closed without an answer, or one that answered nothing any more.

Cause: an exception from a front left HttpConnection in its serving state and went to exceptionCaught, which closed the connection over the request that had been read. Found in the search for related paths; no input that causes it is known.

Evidence: HttpConnectionTest.requestIsAnsweredThoughItsFrontFails failed before.

Change: the request is answered 500 and the fault is logged.

--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -294,7 +294,7 @@
             } else if (e.fault != null) {
                 front.reject(e, HttpResponseStatus.BAD_REQUEST, "malformed HTTP: " + e.fault.getMessage());
             } else {
-                front.serve(e);
+                serve(e);
             }
             if (!e.isReplied()) {
                 break;
@@ -303,6 +303,16 @@
         serving = false;
     }
 
+    /** A request that was read has to be answered, whatever goes wrong in the front. */
+    private void serve(Exchange e) {
+        try {
+            front.serve(e);
+        } catch (RuntimeException fault) {
+            LOG.log(Level.SEVERE, "a request failed", fault);
+            front.reject(e, HttpResponseStatus.INTERNAL_SERVER_ERROR, "internal error");
+        }
+    }
+
     void reply(Exchange e, HttpResponseStatus status, String contentType, byte[] body, Map<String, String> extra) {
         waiting.remove(e);
         release(e);
--- a/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
+++ b/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
@@ -31,6 +31,9 @@
     private final HttpConnection.Front front = new HttpConnection.Front() {
         @Override
         public void serve(Exchange e) {
+            if (e.uri.equals("/fault")) {
+                throw new IllegalStateException("made by the test");
+            }
             e.reply(HttpResponseStatus.OK, "text/plain", "served", Map.of());
         }
 
@@ -90,6 +93,16 @@
         assertThat(reply(client)).startsWith("HTTP/1.1 408 ");
     }
 
+    /** Guards against a connection that answered nothing any more, or closed bare, behind a fault of its front. */
+    @Test
+    void requestIsAnsweredThoughItsFrontFails() {
+        EmbeddedChannel client = client(connections(MANY_DESCRIPTORS));
+        send(client, REQUEST.replace("/api/a", "/fault"));
+        assertThat(reply(client)).startsWith("HTTP/1.1 500 ");
+        send(client, REQUEST);
+        assertThat(reply(client)).startsWith("HTTP/1.1 200 ");
+    }
+
     /** A connection that rests is served again, and ends only when it has rested for long. */
     @Test
     void restingConnectionIsServedAgain() {
