Read nothing any more once the process has decided to leave

What callers saw: the last requests on open connections read by a stopping process and never answered (rule lost: read after the shutdown and forwarded).

Cause: after the decision to leave, Daemon.run turned the event loop once more, for the closing of the listeners; that turn also read what clients had sent meanwhile, took it and sent it to readers, and the process exited.

Evidence: by reading the code. The soak of shutdowns did not meet it (the window is one turn), so no test failed before; ShutdownSoakTest would show it. Closing a channel on the loop's own thread needs no turn, and unread requests are the clients' to send again.

Change: that turn is left out.

--- a/coordinator/src/main/java/burlford/daemon/Daemon.java
+++ b/coordinator/src/main/java/burlford/daemon/Daemon.java
@@ -108,7 +108,7 @@
             watch.stop();
         }
         store.close();
-        turns.loop.runNow();
+        // The loop is not turned again: what it would read now nobody would answer.
         System.out.print(serving.countersText());
         System.out.flush();
     }
