Wait for discovery's first answer before a new process listens, for at most a second

Cause: the listener opened right after the watch was started, before its first answer could be read.

Evidence: the transcript start-with-an-old-list failed before: 'serves platform' stood in the log ahead of the change.

Change: Daemon turns the loop until Watch.isCurrent, at most 1 s; where discovery is down the process then serves with the list it has. Transcripts whose stand-in never answers start 1 s later. 64 tests green.

--- a/coordinator/src/main/java/burlford/daemon/Daemon.java
+++ b/coordinator/src/main/java/burlford/daemon/Daemon.java
@@ -36,6 +36,9 @@
     /** Held here: a logger that nobody holds forgets its level. */
     private static final Logger MICRORAFT = Logger.getLogger("io.microraft");
 
+    /** Where discovery says nothing, the process serves with the list it has. */
+    private static final long LONGEST_WAIT_FOR_LIST = 1_000_000;
+
     private final Map<String, String> environment;
     private final Shared shared;
     private final Turns turns;
@@ -94,6 +97,7 @@
         } else if (configuration.discovery() != null) {
             watch = new Watch(serving.out(), configuration.discovery(), roster, turns.deadlines);
             watch.start(configuration.known());
+            awaitList();
         }
         // Last: what comes from here on is ours to answer, and reading the list took half a second of a short core.
         listen("platform", configuration.listen(), b -> serving.accept(b, Door.PLATFORM));
@@ -113,6 +117,15 @@
         System.out.flush();
     }
 
+    /** What discovery has counts as notified from the start; the list known from before may be old. */
+    private void awaitList() {
+        long until = turns.now() + LONGEST_WAIT_FOR_LIST;
+        turns.deadlines.at(until, () -> { });
+        while (!watch.isCurrent() && turns.now() < until) {
+            turns.turn();
+        }
+    }
+
     // ---- settings
 
     /** The settings as the store's records see them. */
--- a/coordinator/src/main/java/burlford/discovery/Watch.java
+++ b/coordinator/src/main/java/burlford/discovery/Watch.java
@@ -80,9 +80,9 @@
         }
     }
 
-    /** Discovery has answered a call since the start. */
-    public boolean isAnswered() {
-        return answered;
+    /** Discovery has answered since the start, and given the whole list where it was needed. */
+    public boolean isCurrent() {
+        return answered && !fetch;
     }
 
     public void stop() {
--- a/coordinator/src/test/java/burlford/discovery/WatchTest.java
+++ b/coordinator/src/test/java/burlford/discovery/WatchTest.java
@@ -128,7 +128,7 @@
     @Test
     void silentWatchIsAskedAnewBeforeWhatItMissedCountsAsNotified() throws IOException {
         discovery.send(0, HEAD + chunk("\n"));
-        until(watch::isAnswered);
+        until(watch::isCurrent);
         assertThat(timeToNextCall()).isLessThan(NOTIFIED_AFTER_SILENCE);
         discovery.send(1, HEAD + chunk(list(42, false, member("s1", "Terminating"))));
         until(() -> told.contains("s1 DRAINING"));
@@ -138,7 +138,7 @@
     @Test
     void callThatHangsIsNotWaitedFor() throws IOException {
         discovery.send(0, HEAD + chunk("\n"));
-        until(watch::isAnswered);
+        until(watch::isCurrent);
         long silent = timeToNextCall();
         long hung = timeToNextCall();
         assertThat(silent + hung).isLessThan(NOTIFIED_AFTER_SILENCE);
@@ -176,7 +176,7 @@
     @Test
     void watchWithHeartbeatsStays() throws IOException {
         discovery.send(0, HEAD);
-        until(watch::isAnswered);
+        until(watch::isCurrent);
         for (int i = 0; i < 10; i++) {
             int heard = told.size();
             discovery.send(0, chunk("\n") + chunk(list(42 + i, false, member("s1", "Ready"))));
