Carry slow-start turns and the retry budget over to new settings

Cause: new settings come with a new decision module that knows nothing of the one before. Found in the search for related paths (signals in series).

Change: the new module inherits the debts of readers in slow start and the two queues of the retry budget, once it has been told the list.

--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -101,10 +101,12 @@
      * with, and both hear of the readers meanwhile.
      */
     public void reconfigure(Site to, Dispatcher by) {
+        Dispatcher before = dispatcher;
         site = to;
         dispatcher = by;
         older = true;
         told(ListKind.CACHED, readers());
+        by.inherit(before);
     }
 
     /** The present dispatcher, and those of queries that are still open. */
--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -163,6 +163,23 @@
         listCallAt = settings.askForList() ? 0 : NEVER;
     }
 
+    /**
+     * Takes over what the rules count from the module that this one replaces: turns at servers in slow start, and
+     * further attempts with what they are a share of. Both know the same list.
+     */
+    void inherit(Decide before) {
+        extras.addAll(before.extras);
+        taken.addAll(before.taken);
+        for (Server s : servers.values()) {
+            Server known = before.servers.get(s.id);
+            if (known != null) {
+                s.startedAt = known.startedAt;
+                s.coldDebt = known.coldDebt;
+                s.coldAt = known.coldAt;
+            }
+        }
+    }
+
     @Override
     public List<Action> round(long clock, List<Event> events) {
         if (clock < now) {
--- a/coordinator/src/main/java/burlford/policy/Dispatcher.java
+++ b/coordinator/src/main/java/burlford/policy/Dispatcher.java
@@ -40,7 +40,7 @@
     public record Decisions(List<Cancel> cancels, List<String> closeIdle, List<Send> sends, List<String> probes,
             List<Ending> endings, long wakeIn) { }
 
-    private final Aggregator module;
+    private final Decide module;
     private final Map<String, Long> numbers = new HashMap<>();
     private final Map<Long, String> names = new HashMap<>();
     private final Set<String> listed = new HashSet<>();
@@ -53,6 +53,14 @@
         module = new Decide(settings, seed);
     }
 
+    /**
+     * Takes over what the rules count from the dispatcher that this one replaces, once the list has been told here:
+     * budgets of readers in slow start and of further attempts, which new settings do not renew.
+     */
+    public void inherit(Dispatcher before) {
+        module.inherit(before.module);
+    }
+
     /** A query came in; its number is the caller's, above 0 and never used twice. */
     public Decisions pick(long now, long query, int queryClass, int tenant, long key, boolean retry, long timeLeft,
             List<Part> parts) {
