Reckon a reader's start from when it was noticed, not from stepped wall clocks

What callers saw: under a stepped wall clock (by seconds, or an hour) readers that had just started were sent more than their slow-start budget allows, or stayed in slow start for an hour.

Cause: up_since_ms was compared as it came with the process's clock, which holds whatever the wall clock said at the start, though a step of either machine's clock shifts one against the other.

Change: policy.StartTimes. A reader noticed after the first list counts as started no earlier than its seeming age, less the least age that any reader had when noticed; of a first list the latest start is taken as now where it lies in the future or more than ten minutes back, though 0 means long ago. In doubt a reader counts as colder. Not covered: a clock off by seconds in the first list of a process that has noticed no reader yet.

--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -125,6 +125,7 @@
     private final Line time = new Line();
     private final Tally fleet = new Tally();
     private final Tally crashes = new Tally();
+    private StartTimes starts = new StartTimes();
     private final Tally[] idle = new Tally[IDLE_CLASSES + 1];
     private double overdue = 3;
     private double stretch = 1;
@@ -170,6 +171,7 @@
     void inherit(Decide before) {
         extras.addAll(before.extras);
         taken.addAll(before.taken);
+        starts = before.starts;
         for (Server s : servers.values()) {
             Server known = before.servers.get(s.id);
             if (known != null) {
@@ -242,10 +244,13 @@
         if (e.kind() != ListKind.CHANGES) {
             servers.values().forEach(s -> s.listed = false);
         }
+        if (!hadList) {
+            starts.first(now, e.entries().stream().mapToLong(Listed::startedAt).max().orElse(0));
+        }
         for (Listed entry : e.entries()) {
             boolean known = servers.containsKey(entry.replica());
             Server s = servers.computeIfAbsent(entry.replica(), id -> new Server());
-            boolean anew = known && entry.startedAt() != 0 && entry.startedAt() != s.startedAt;
+            boolean anew = known && entry.startedAt() != 0 && entry.startedAt() != s.toldStart;
             if (known && s.status == Status.READY && (anew || entry.status() == Status.GONE)) {
                 crashes.add(0, 1, now, TRUST_LIFE);
             }
@@ -253,7 +258,8 @@
                 // A server that turns up later without a time of start has just started, for all we know.
                 // What was known of one that started anew is void.
                 s.id = entry.replica();
-                s.startedAt = entry.startedAt() == 0 && hadList ? now : entry.startedAt();
+                s.toldStart = entry.startedAt();
+                s.startedAt = hadList ? starts.ofNoticed(now, s.toldStart) : starts.ofFirst(s.toldStart);
                 s.reportAt = NEVER;
                 s.endedSince = 0;
                 s.slowAt = NEVER;
--- a/coordinator/src/main/java/burlford/policy/State.java
+++ b/coordinator/src/main/java/burlford/policy/State.java
@@ -15,7 +15,9 @@
         int zone;
         int cell;
         Aggregator.Status status = Aggregator.Status.READY;
+        /** When it started, as we reckon, and as the list told; 0: long ago. */
         long startedAt;
+        long toldStart;
         boolean listed;
         /** The queue last reported, NaN when a report came without one; meaningful when reportAt is not NEVER. */
         double reportedQueue;
