Send what a turn decided at its end, when all that came in it is read

Cause: calls went out as they were decided, in the middle of a turn, while the client's end or discovery's word lay unread further back in the same turn.

Evidence: ReaderSocketsTest.partOfAClientThatLeftInTheSameTurnIsNotSent and partIsNotSentToAReaderThatDrainsInTheSameTurn failed before.

Change: Coordinator keeps a turn's calls and hands them to the readers' side at the turn's end, but for those that have ended or were withdrawn meanwhile.

--- a/coordinator/src/main/java/burlford/core/Call.java
+++ b/coordinator/src/main/java/burlford/core/Call.java
@@ -12,6 +12,8 @@
     public final long deadline;
     Deadlines.Deadline timeout;
     boolean ended;
+    /** The readers' side has it; before that it waits for the end of its turn. */
+    boolean handedOver;
 
     Call(String partId, int shard, Send send, byte[] text, long sentAt, long deadline) {
         this.partId = partId;
--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -73,6 +73,8 @@
     private final Map<String, ReaderEntry> list = new LinkedHashMap<>();
     private Runnable onListed = () -> { };
     private final ArrayDeque<Decided> decided = new ArrayDeque<>();
+    /** Calls decided in this turn. */
+    private final ArrayDeque<Call> unsent = new ArrayDeque<>();
     private boolean carryingOut;
     private boolean catchingUp;
     /** Probes that another coordinator sent and whose results this one's module waits for. */
@@ -411,7 +413,7 @@
     /** Ends calls that still wait for a connection; without it a query that has ended would be sent on. */
     private void withdrawUnsent(Open o, Predicate<Call> which) {
         for (Call call : List.copyOf(o.calls.values())) {
-            if (!call.ended && which.test(call) && readers.withdraw(call)) {
+            if (!call.ended && which.test(call) && (!call.handedOver || readers.withdraw(call))) {
                 ended(call, Outcome.MOOT, null, NO_LOAD);
             }
         }
@@ -517,7 +519,23 @@
             trace("sent call=%s number=%d reader=%s until=%d", call.partId, s.attempt(), s.reader(), until - now);
         }
         commons.sent(s, part, o.query.queryClass(), now, until);
-        readers.send(call);
+        if (unsent.isEmpty()) {
+            deadlines.at(now, this::handOver);
+        }
+        unsent.add(call);
+    }
+
+    /**
+     * At the end of a turn, when all that came in it is read: a client that left or a reader that drains goes before
+     * what was decided earlier in the turn.
+     */
+    private void handOver() {
+        for (Call call = unsent.poll(); call != null; call = unsent.poll()) {
+            if (!call.ended) {
+                call.handedOver = true;
+                readers.send(call);
+            }
+        }
     }
 
     private void cancel(Cancel c) {
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -223,4 +223,36 @@
         assertThat(ends).containsExactly("failed");
         assertThat(turns.counters.get("queries.failed.shutdown")).isEqualTo(1);
     }
+
+    /** Guards against a part sent for a client whose end was read in the same turn, behind what led to the part. */
+    @Test
+    void partOfAClientThatLeftInTheSameTurnIsNotSent() throws Exception {
+        start(1, s -> { });
+        held.letThrough();
+        letAnotherThrough();
+        long number = ask("q");
+        coordinator.left(number);
+        turn();
+        assertThat(audit.attempts.keySet()).containsExactly("after.0");
+        ends.clear();
+        letAnotherThrough();
+        assertThat(audit.attempts.keySet()).containsExactly("after.0");
+    }
+
+    /** Guards against a part sent to a reader of which the same turn, later, reads that it drains. */
+    @Test
+    void partIsNotSentToAReaderThatDrainsInTheSameTurn() throws Exception {
+        start(1, s -> { });
+        held.letThrough();
+        letAnotherThrough();
+        ends.clear();
+        ask("q");
+        coordinator.listed(ListKind.CHANGES, List.of(entry(0, Status.DRAINING)));
+        turn();
+        coordinator.listed(ListKind.CHANGES, List.of(entry(0, Status.READY)));
+        until(() -> !ends.isEmpty());
+        assertThat(ends).containsExactly("answered");
+        assertThat(audit.attempts.get("q.0")).isEqualTo(1);
+        assertThat(turns.counters.get("attempts.moot")).isEqualTo(1);
+    }
 }
--- a/coordinator/src/test/java/burlford/daemon/StoodStillTest.java
+++ b/coordinator/src/test/java/burlford/daemon/StoodStillTest.java
@@ -28,6 +28,7 @@
     private static final double[] LOAD = {0, 30};
     private long now = 5_000_000;
     private long stood;
+    private final Deadlines deadlines = new Deadlines();
     private final List<Long> elapsed = new ArrayList<>();
     private final List<double[]> loads = new ArrayList<>();
     private final List<Call> calls = new ArrayList<>();
@@ -43,7 +44,7 @@
                     }
                     return method.getName().equals("stoodStill") ? (Object) stood : method.invoke(alone, a);
                 });
-        Coordinator c = new Coordinator(setup.site(), Lane.dispatcher(setup, 0, 1), commons, new Deadlines(),
+        Coordinator c = new Coordinator(setup.site(), Lane.dispatcher(setup, 0, 1), commons, deadlines,
                 new Counters(), () -> now);
         c.connect((Readers) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Readers.class},
                 (proxy, method, a) -> {
@@ -60,6 +61,7 @@
         c.take(new Query(id, 1, 1, 0, false, now + 4_000_000, new byte[0], List.of(new Dispatcher.Part(0, 1, 0, 0))),
                 (Client) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Client.class},
                         (proxy, method, a) -> null));
+        deadlines.sweep(now); // the end of the turn, at which calls go out
     }
 
     @Test
