Add a test of a real process without free descriptors

200 idle clients against a limit of 160 descriptors that the configuration does not know of: accept and socket() fail for real. A client that asks gets each answer in time, and no part comes after its end. A process under test loads each class from a file of its own; those of the path are loaded first.

--- /dev/null
+++ b/coordinator/src/test/java/burlford/play/DescriptorShortageTest.java
@@ -0,0 +1,79 @@
+package burlford.play;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.Test;
+
+/** A real process under a limit of descriptors that its own configuration does not know of: accept and socket fail. */
+class DescriptorShortageTest {
+
+    private static final int DESCRIPTORS = 160;
+    private static final int IDLE_CLIENTS = 200;
+    private static final int DEADLINE_MS = 600;
+    private static final int REQUESTS = 20;
+
+    /** Guards against requests that waited behind a listener standing still, or were lost to a failed socket(). */
+    @Test
+    void requestsGetTheirAnswerWhileNoDescriptorIsLeft() throws Exception {
+        Map<String, Long> lastSeen = new ConcurrentHashMap<>();
+        ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+        List<SoakReader> readers = List.of(new SoakReader(1, timer, lastSeen), new SoakReader(2, timer, lastSeen),
+                new SoakReader(3, timer, lastSeen));
+        List<Socket> idle = new ArrayList<>();
+        List<SoakClient.Outcome> outcomes = new CopyOnWriteArrayList<>();
+        try (Program program = Program.serveWithin(DESCRIPTORS,
+                ShutdownSoakTest.configuration(readers, DEADLINE_MS, false))) {
+            int port = program.port("platform");
+            loadClasses(port);
+            for (int i = 0; i < IDLE_CLIENTS; i++) {
+                idle.add(new Socket(InetAddress.getLoopbackAddress(), port));
+            }
+            SoakClient client = new SoakClient(port, "c", DEADLINE_MS, 1, outcomes);
+            Thread thread = new Thread(client);
+            thread.start();
+            long limit = System.nanoTime() + Program.PATIENCE_MS * 1_000_000;
+            while (outcomes.size() < REQUESTS && System.nanoTime() < limit) {
+                Thread.sleep(1);
+            }
+            client.stop();
+            thread.join();
+            assertThat(outcomes).as(program.log()).hasSizeGreaterThanOrEqualTo(REQUESTS);
+            assertThat(program.log()).contains("Too many open files");
+        } finally {
+            timer.shutdownNow();
+            close(readers, idle);
+        }
+        assertThat(ShutdownSoakTest.broken(outcomes, lastSeen)).isEmpty();
+        assertThat(outcomes.get(0).end()).isNotEqualTo(SoakClient.End.TIMED_OUT);
+    }
+
+    /** Here each class is a file of its own, which could not be opened later; in the jar all are open from the start. */
+    private static void loadClasses(int port) throws IOException {
+        String body = "{\"parts\":[{\"id\":0}],\"expr\":\"e\"}";
+        try (Peer closing = new Peer(port)) {
+            closing.send("POST /api/a HTTP/1.1\r\nReq-Id: warm\r\nReq-Kind: car-lookup\r\nReq-Owner: duna-cab\r\n"
+                    + "Req-Deadline-Ms: " + DEADLINE_MS + "\r\nConnection: close\r\nContent-Length: " + body.length()
+                    + "\r\n\r\n" + body);
+            closing.expect("HTTP/1.1 [0-9]{3} .*connection: close");
+        }
+    }
+
+    private static void close(List<SoakReader> readers, List<Socket> idle) throws IOException {
+        for (SoakReader r : readers) {
+            r.close();
+        }
+        for (Socket s : idle) {
+            s.close();
+        }
+    }
+}
--- a/coordinator/src/test/java/burlford/play/Program.java
+++ b/coordinator/src/test/java/burlford/play/Program.java
@@ -28,7 +28,16 @@
     private Path file;
 
     public Program(Map<String, String> environment, String... args) throws IOException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        this(0, environment, args);
+    }
+
+    /** descriptors: the limit that the system sets the process; 0: none of its own. */
+    private Program(int descriptors, Map<String, String> environment, String... args) throws IOException {
+        List<String> command = new ArrayList<>();
+        if (descriptors > 0) {
+            command.addAll(List.of("sh", "-c", "ulimit -n " + descriptors + "; exec \"$0\" \"$@\""));
+        }
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
                 "burlford.Main"));
         command.addAll(List.of(args));
@@ -49,6 +58,12 @@
         return program;
     }
 
+    /** Serves with this configuration under a limit of descriptors. */
+    static Program serveWithin(int descriptors, ObjectNode configuration) throws IOException {
+        Path file = temporary(".json", new ObjectMapper().writeValueAsString(configuration));
+        return new Program(descriptors, Map.of("PROXY_CONFIG", file.toString()), "serve");
+    }
+
     static Path temporary(String ending, String text) throws IOException {
         Path file = Files.createTempFile("burlford", ending);
         file.toFile().deleteOnExit();
--- a/coordinator/src/test/java/burlford/play/ShutdownSoakTest.java
+++ b/coordinator/src/test/java/burlford/play/ShutdownSoakTest.java
@@ -109,7 +109,8 @@
         program.close();
     }
 
-    private static List<String> broken(List<SoakClient.Outcome> outcomes, Map<String, Long> lastSeen) {
+    /** The rules that these requests broke, a line each. */
+    static List<String> broken(List<SoakClient.Outcome> outcomes, Map<String, Long> lastSeen) {
         List<String> broken = new ArrayList<>();
         for (SoakClient.Outcome o : outcomes) {
             Long seen = lastSeen.get(o.id());
@@ -130,7 +131,7 @@
         return broken;
     }
 
-    private static ObjectNode configuration(List<SoakReader> readers, int deadlineMs, boolean crowd)
+    static ObjectNode configuration(List<SoakReader> readers, int deadlineMs, boolean crowd)
             throws IOException {
         ObjectNode configuration;
         try (InputStream in = ShutdownSoakTest.class.getResourceAsStream("/configuration.json")) {
