Write again what a failed sync of the store's log covered, and cut off half records

What operators would see: entries that a majority had taken on gone after a crash, or a member that does not start ('damaged at byte ...'), where the disk failed for a while (ENOSPC, EIO) before.

Cause: LogFile took a later good sync for one of everything before, though the system drops what a failed one covered; and it appended behind the part of a record that a failed write had left. A log written anew took its name without a sync of the folder.

Change: records since the last good sync are kept and written again before the next one; a failed write is cut off before the next; a rewrite that fails leaves the old file in use.

--- a/coordinator/src/main/java/burlford/store/LogFile.java
+++ b/coordinator/src/main/java/burlford/store/LogFile.java
@@ -10,6 +10,7 @@
 import io.microraft.model.persistence.RaftTermPersistentState;
 import io.microraft.persistence.RaftStore;
 import io.microraft.persistence.RestoredRaftState;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -40,16 +41,35 @@
     private static final String DROP = "drop ";
 
     private final Path path;
+    private final Opener opener;
     private FileChannel file;
+    /** Where the next record goes. */
+    private long end;
+    /** A write failed: behind the end there may be a part of a record. */
+    private boolean brokenTail;
+    /** Records since the last sync that succeeded. */
+    private final ByteArrayOutputStream unsynced = new ByteArrayOutputStream();
+    private boolean syncFailed;
     private RaftEndpointPersistentState endpoint;
     private RaftGroupMembersView members;
     private RaftTermPersistentState term;
     private final TreeMap<Long, LogEntry> entries = new TreeMap<>();
     private final TreeMap<Long, TreeMap<Integer, SnapshotChunk>> chunks = new TreeMap<>();
 
+    /** How the file is opened. */
+    interface Opener {
+        FileChannel open(Path path) throws IOException;
+    }
+
     LogFile(Path path) throws IOException {
+        this(path, p -> FileChannel.open(p, StandardOpenOption.CREATE, StandardOpenOption.READ,
+                StandardOpenOption.WRITE));
+    }
+
+    LogFile(Path path, Opener opener) throws IOException {
         this.path = path;
-        file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
+        this.opener = opener;
+        file = opener.open(path);
         replay();
     }
 
@@ -74,7 +94,7 @@
                 break;
             }
         }
-        file.position(at);
+        end = at;
     }
 
     private void apply(byte[] record) throws IOException {
@@ -128,12 +148,24 @@
     private void append(byte[] record) throws IOException {
         ByteBuffer b = ByteBuffer.allocate(HEAD + record.length).putInt(record.length)
                 .putInt(checksum(record, 0, record.length)).put(record).flip();
-        while (b.hasRemaining()) {
-            file.write(b);
+        if (brokenTail) {
+            file.truncate(end);
         }
+        brokenTail = true;
+        write(b.duplicate(), end);
+        brokenTail = false;
+        end += b.limit();
+        unsynced.write(b.array(), 0, b.limit());
         apply(record);
     }
 
+    private void write(ByteBuffer bytes, long at) throws IOException {
+        long to = at;
+        while (bytes.hasRemaining()) {
+            to += file.write(bytes, to);
+        }
+    }
+
     private static int checksum(byte[] bytes, int from, int length) {
         CRC32C crc = new CRC32C();
         crc.update(bytes, from, length);
@@ -183,10 +215,37 @@
     @Override
     public void truncateLogEntriesUntil(long index) throws IOException {
         append(UNTIL, index);
-        Path fresh = path.resolveSibling(path.getFileName() + ".new");
+        flush();
         FileChannel old = file;
-        file = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
-                StandardOpenOption.WRITE);
+        long oldEnd = end;
+        Path fresh = path.resolveSibling(path.getFileName() + ".new");
+        Files.deleteIfExists(fresh);
+        try {
+            file = opener.open(fresh);
+            end = 0;
+            rewrite();
+            Files.move(fresh, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, path + " could not be written anew, and goes on as it is", e);
+            file = old;
+            end = oldEnd;
+            brokenTail = false;
+            syncFailed = false;
+            unsynced.reset();
+            return;
+        }
+        syncDirectory();
+        old.close();
+    }
+
+    /** The new name has to last as long as what is synced under it from here on. */
+    private void syncDirectory() throws IOException {
+        try (FileChannel directory = FileChannel.open(path.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
+            directory.force(true);
+        }
+    }
+
+    private void rewrite() throws IOException {
         List<RaftModel> kept = new ArrayList<>();
         for (RaftModel model : new RaftModel[] {endpoint, members, term}) {
             if (model != null) {
@@ -199,8 +258,6 @@
             append(Codec.encode(model));
         }
         flush();
-        Files.move(fresh, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        old.close();
     }
 
     @Override
@@ -208,9 +265,16 @@
         append(DROP, index);
     }
 
+    /** After a failed sync the system may take for written what never reached the disk: it is written again. */
     @Override
     public void flush() throws IOException {
+        if (syncFailed) {
+            write(ByteBuffer.wrap(unsynced.toByteArray()), end - unsynced.size());
+        }
+        syncFailed = true;
         file.force(false);
+        syncFailed = false;
+        unsynced.reset();
     }
 
     @Override
--- /dev/null
+++ b/coordinator/src/test/java/burlford/store/FailingChannel.java
@@ -0,0 +1,135 @@
+package burlford.store;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.MappedByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
+import java.util.Arrays;
+
+/** A file whose writes and syncs fail when told to; a failed sync forgets what was written since the last good one. */
+final class FailingChannel extends FileChannel {
+
+    private final FileChannel file;
+    private byte[] synced;
+    /** The next write fails behind so many bytes; negative: it does not. */
+    int failWriteAfter = -1;
+    boolean failSync;
+
+    FailingChannel(FileChannel file) throws IOException {
+        this.file = file;
+        synced = content();
+    }
+
+    private byte[] content() throws IOException {
+        ByteBuffer all = ByteBuffer.allocate((int) file.size());
+        file.read(all, 0);
+        return all.array();
+    }
+
+    @Override
+    public int write(ByteBuffer from, long position) throws IOException {
+        if (failWriteAfter < 0) {
+            return file.write(from, position);
+        }
+        ByteBuffer part = from.slice(from.position(), Math.min(failWriteAfter, from.remaining()));
+        failWriteAfter = -1;
+        file.write(part, position);
+        throw new IOException("No space left on device");
+    }
+
+    @Override
+    public void force(boolean metaData) throws IOException {
+        if (!failSync) {
+            file.force(metaData);
+            synced = content();
+            return;
+        }
+        byte[] lost = content();
+        if (lost.length > synced.length) {
+            byte[] zeros = new byte[lost.length - synced.length];
+            Arrays.fill(zeros, (byte) 0);
+            file.write(ByteBuffer.wrap(zeros), synced.length);
+        }
+        throw new IOException("Input/output error");
+    }
+
+    @Override
+    public FileChannel truncate(long size) throws IOException {
+        file.truncate(size);
+        return this;
+    }
+
+    @Override
+    public long size() throws IOException {
+        return file.size();
+    }
+
+    @Override
+    protected void implCloseChannel() throws IOException {
+        file.close();
+    }
+
+    @Override
+    public int write(ByteBuffer from) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public long write(ByteBuffer[] from, int offset, int length) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public int read(ByteBuffer to) throws IOException {
+        return file.read(to);
+    }
+
+    @Override
+    public long read(ByteBuffer[] to, int offset, int length) throws IOException {
+        return file.read(to, offset, length);
+    }
+
+    @Override
+    public int read(ByteBuffer to, long position) throws IOException {
+        return file.read(to, position);
+    }
+
+    @Override
+    public long position() throws IOException {
+        return file.position();
+    }
+
+    @Override
+    public FileChannel position(long position) throws IOException {
+        file.position(position);
+        return this;
+    }
+
+    @Override
+    public long transferTo(long position, long count, WritableByteChannel target) throws IOException {
+        return file.transferTo(position, count, target);
+    }
+
+    @Override
+    public long transferFrom(ReadableByteChannel from, long position, long count) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public MappedByteBuffer map(MapMode mode, long position, long size) throws IOException {
+        return file.map(mode, position, size);
+    }
+
+    @Override
+    public FileLock lock(long position, long size, boolean shared) throws IOException {
+        return file.lock(position, size, shared);
+    }
+
+    @Override
+    public FileLock tryLock(long position, long size, boolean shared) throws IOException {
+        return file.tryLock(position, size, shared);
+    }
+}
