Hand over the rest of a turn's calls though one of them fails

A call whose hand-over throws left the others of its turn in the queue with no deadline to send them, and every later one behind them. Found in reading the change again; no input that causes it is known and no test was added.

--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -317,7 +317,8 @@
         waiting.remove(e);
         release(e);
         // Clients that ask once and keep their connection came so fast that all room was taken by them.
-        boolean close = !e.keepAlive || crowded || flooded && waiting.isEmpty() || connections.scarce() || leaving.getAsBoolean();
+        boolean last = flooded && waiting.isEmpty();
+        boolean close = !e.keepAlive || crowded || last || connections.scarce() || leaving.getAsBoolean();
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 e.method.equals(HttpMethod.HEAD) ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -530,10 +530,16 @@
      * what was decided earlier in the turn.
      */
     private void handOver() {
-        for (Call call = unsent.poll(); call != null; call = unsent.poll()) {
-            if (!call.ended) {
-                call.handedOver = true;
-                readers.send(call);
+        try {
+            for (Call call = unsent.poll(); call != null; call = unsent.poll()) {
+                if (!call.ended) {
+                    call.handedOver = true;
+                    readers.send(call);
+                }
+            }
+        } finally {
+            if (!unsent.isEmpty()) {
+                deadlines.at(now(), this::handOver); // one that failed does not hold up the others
             }
         }
     }
--- a/coordinator/src/main/java/burlford/policy/StartTimes.java
+++ b/coordinator/src/main/java/burlford/policy/StartTimes.java
@@ -1,9 +1,9 @@
 package burlford.policy;
 
 /**
- * When servers started, on our own clock, by the times that lists give. Those are of another machine's wall clock: either
- * clock may have been stepped, by seconds or by an hour, so only differences between them are believed. In doubt a
- * server counts as started later, which keeps it within the budget of its slow start. Times are microseconds.
+ * When servers started, on our own clock, by the times that lists give. Those are of another machine's wall clock:
+ * either clock may have been stepped, by seconds or by an hour, so only differences between them are believed. In
+ * doubt a server counts as started later, which keeps it within the budget of its slow start. Times are microseconds.
  */
 final class StartTimes {
 
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -211,7 +211,7 @@
         assertThat(audit.attempts.keySet()).containsExactly("after.0");
     }
 
-    /** Guards against a query that the kill found unanswered: it was open at SIGTERM and its client would wait longer. */
+    /** Guards against a query that the kill found unanswered: open at SIGTERM, and its client would wait longer. */
     @Test
     void queryThatIsOpenAtTheShutdownEndsByItsTime() throws Exception {
         start(1, s -> { });
--- a/coordinator/src/test/java/burlford/policy/ClockStepTest.java
+++ b/coordinator/src/test/java/burlford/policy/ClockStepTest.java
@@ -60,7 +60,7 @@
         return sentAt(d, sentAt(d, sentAt(d, now))) - now;
     }
 
-    /** Guards against taking a reader that has just started for a warm one, or a warm one for cold, by a stepped clock. */
+    /** Guards against taking a reader that has just started for a warm one, or the reverse, by a stepped clock. */
     @ParameterizedTest
     @ValueSource(longs = {-3600, -5, 5, 3600})
     void readerThatIsNoticedIsInSlowStartWhateverTheClocksSay(long seconds) {
--- a/coordinator/src/test/java/burlford/policy/ReconfigurationTest.java
+++ b/coordinator/src/test/java/burlford/policy/ReconfigurationTest.java
@@ -90,7 +90,8 @@
                 decisions = d.tick(now);
             } else {
                 attempts++;
-                decisions = d.report(now, decisions.sends().get(0), Aggregator.Outcome.ERROR, STEP, false, new double[0]);
+                decisions = d.report(now, decisions.sends().get(0), Aggregator.Outcome.ERROR, STEP, false,
+                        new double[0]);
             }
         }
         return attempts - 1;
