--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -165,8 +165,8 @@
     }
 
     /**
-     * Takes over what the rules count from the module that this one replaces: turns at servers in slow start, and
-     * further attempts with what they are a share of. Both know the same list.
+     * Takes over what the rules count from the module that this one replaces: turns at servers in slow start,
+     * and further attempts with what they are a share of. Both know the same list.
      */
     void inherit(Decide before) {
         extras.addAll(before.extras);
