Log why single queries, attempts and connections ended, and turns that took long

Change: at most 20 lines a second per source with the request's id and the reason for a refusal, failure, retry, client that left and connection closed; a line and a counter (turns.long) for a turn of the event loop that took over 0.1 s besides its wait. Result: EventLogTest passes; no behaviour changes.

--- a/coordinator/src/main/java/burlford/clients/Connections.java
+++ b/coordinator/src/main/java/burlford/clients/Connections.java
@@ -3,6 +3,7 @@
 import burlford.core.Counters;
 import burlford.core.Crowd;
 import burlford.core.Deadlines;
+import burlford.core.EventLog;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -27,6 +28,7 @@
     private final LongSupplier clock;
     private final Crowd crowd;
     private final Counters counters;
+    private final EventLog events;
     private int most;
     private int toRefuse;
     private int open;
@@ -41,6 +43,7 @@
         this.counters = counters;
         this.deadlines = deadlines;
         this.clock = clock;
+        this.events = new EventLog(Connections.class, clock);
         limit(descriptors);
     }
 
@@ -114,7 +117,8 @@
     }
 
     /** Counts why a connection is about to be closed from this side. */
-    void closing(CloseReason reason) {
+    void closing(CloseReason reason, Object client) {
+        events.log("client", client, "closed:", reason);
         counters.add("clients.connections.closed." + reason.name().toLowerCase(Locale.ROOT));
     }
 
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -181,7 +181,7 @@
     }
 
     void close(CloseReason reason) {
-        connections.closing(reason);
+        connections.closing(reason, ctx.channel().remoteAddress());
         ctx.close();
     }
 
@@ -325,7 +325,7 @@
                 .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         extra.forEach(response.headers()::set);
         if (close) {
-            connections.closing(closeReason(e));
+            connections.closing(closeReason(e), ctx.channel().remoteAddress());
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ending = true;
         }
@@ -409,7 +409,7 @@
         // A client that goes, also in the middle of a request, is nothing to tell of.
         if (!(cause instanceof IOException || cause instanceof PrematureChannelClosureException)) {
             LOG.log(Level.WARNING, "client connection closed", cause);
-            connections.closing(CloseReason.FAULT);
+            connections.closing(CloseReason.FAULT, ctx.channel().remoteAddress());
         }
         c.close();
     }
--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -37,6 +37,7 @@
     private static final boolean TRACED = TRACE.isLoggable(Level.FINE);
     /** Before the client's time is up by this much a query still open is failed, whatever was decided. */
     private static final long LAST_WORD = 10_000;
+    private static final long US_PER_MS = 1_000;
     private static final double[] NO_LOAD = {};
     /** A load that may be older than this is left out: queues are others by then. */
     private static final long STALE = 100_000;
@@ -46,13 +47,15 @@
         final Query query;
         final Client client;
         final Dispatcher dispatcher;
+        final long takenAt;
         final Map<Integer, String> values = new TreeMap<>();
         final Map<Long, Call> calls = new HashMap<>();
         Deadlines.Deadline lastWord;
         boolean ended;
 
-        Open(long number, Query query, Client client, Dispatcher dispatcher) {
+        Open(long number, Query query, Client client, Dispatcher dispatcher, long takenAt) {
             this.number = number;
+            this.takenAt = takenAt;
             this.query = query;
             this.client = client;
             this.dispatcher = dispatcher;
@@ -67,6 +70,7 @@
     private final Deadlines deadlines;
     private final Counters counters;
     private final LongSupplier clock;
+    private final EventLog events;
     private final Commons commons;
     private Readers readers;
     private final Map<Long, Open> queries = new LinkedHashMap<>();
@@ -92,6 +96,7 @@
         this.deadlines = deadlines;
         this.counters = counters;
         this.clock = clock;
+        this.events = new EventLog(Coordinator.class, clock);
     }
 
     public void connect(Readers to) {
@@ -196,13 +201,14 @@
             commons.release(query.id());
             counters.add("queries.refused.max_open");
             counters.add("queries.refused");
+            events.log("query", query.id(), "refused: MAX_OPEN");
             if (TRACED) {
                 trace("full query=%s class=%d parts=%d", query.id(), query.queryClass(), query.parts().size());
             }
             client.refused(site.comeBack());
             return number;
         }
-        Open o = new Open(number, query, client, dispatcher);
+        Open o = new Open(number, query, client, dispatcher, now());
         queries.put(number, o);
         if (TRACED) {
             trace("taken query=%s class=%d tenant=%d parts=%d left=%d", query.id(), query.queryClass(), query.tenant(),
@@ -222,6 +228,7 @@
             return;
         }
         counters.add("queries.left");
+        events.log("query", o.query.id(), "left by its client after ms", age(o), "attempts out", o.calls.size());
         if (TRACED) {
             trace("left query=%s class=%d left=%d values=%d out=%d", o.query.id(), o.query.queryClass(),
                     o.query.deadline() - now(), o.values.size(), o.calls.size());
@@ -248,6 +255,10 @@
         counters.add("attempts." + outcome.name().toLowerCase());
         Open o = queries.get(call.send.query());
         o.calls.remove(key(call.send.part(), call.send.attempt()));
+        if (outcome != Outcome.OK) {
+            events.log("query", o.query.id(), "part", call.shard, "attempt", call.send.attempt(), "at",
+                    call.send.reader(), "ended:", outcome);
+        }
         if (outcome == Outcome.OK && !o.ended) {
             o.values.put(call.shard, value);
         }
@@ -515,6 +526,9 @@
             ended(call, Outcome.TIMEOUT, null, NO_LOAD);
         });
         counters.add(s.attempt() == 0 ? "attempts.first" : "attempts.further");
+        if (s.attempt() > 0) {
+            events.log("query", o.query.id(), "part", part.shard(), "attempt", s.attempt(), "to", s.reader());
+        }
         if (TRACED) {
             trace("sent call=%s number=%d reader=%s until=%d", call.partId, s.attempt(), s.reader(), until - now);
         }
@@ -559,6 +573,8 @@
         counters.add(verdict);
         if (e.reason() != null) {
             counters.add(verdict + "." + e.reason().name().toLowerCase());
+            events.log("query", o.query.id(), e.verdict() + ":", e.reason(), "after ms", age(o), "of ms",
+                    (o.query.deadline() - o.takenAt) / US_PER_MS);
         }
         if (TRACED) {
             trace("ended query=%s class=%d tenant=%d verdict=%s reason=%s left=%d values=%d out=%d come_back=%d",
@@ -574,6 +590,10 @@
         settle(o);
     }
 
+    private long age(Open o) {
+        return (now() - o.takenAt) / US_PER_MS;
+    }
+
     private void close(Open o) {
         o.ended = true;
         commons.release(o.query.id());
--- a/coordinator/src/main/java/burlford/daemon/Turns.java
+++ b/coordinator/src/main/java/burlford/daemon/Turns.java
@@ -25,6 +25,8 @@
     private static final long LONGEST_BIND = 10_000_000;
     private static final long BIND_RETRY = 50_000;
     private static final long NEVER = Long.MIN_VALUE;
+    /** A turn that takes longer is logged: what came meanwhile lay unread for that long. */
+    private static final long LONG_TURN = 100_000;
 
     final ManualIoEventLoop loop;
     final Deadlines deadlines = new Deadlines();
@@ -55,7 +57,8 @@
     }
 
     void turn() {
-        long next = Math.min(deadlines.next() - now(), LONGEST_TURN);
+        long began = now();
+        long next = Math.min(deadlines.next() - began, LONGEST_TURN);
         // A wait of nought would be one without end: what is due already must not wait for the network.
         if (next > 0) {
             loop.run(TimeUnit.MICROSECONDS.toNanos(next));
@@ -72,6 +75,14 @@
         }
         spent = now() - read;
         woke = NEVER;
+        logLong(Math.max(spent, now() - began - Math.max(0, next)));
+    }
+
+    private void logLong(long took) {
+        if (took >= LONG_TURN) {
+            counters.add("turns.long");
+            LOG.log(Level.INFO, "a turn of the event loop took {0} ms besides its wait", took / 1_000);
+        }
     }
 
     /** Binds a listener; where no socket can be made for a moment, tries again for some seconds. */
