--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -38,6 +38,7 @@
     private static final long REAL_PATIENCE_NS = 20_000_000_000L;
     private static final long DEADLINE_US = 4_000_000;
     private static final long SHORT_DEADLINE_US = 300_000;
+    private static final int TURNS_TO_CONNECT = 100;
 
     private final HeldReader.Audit audit = new HeldReader.Audit();
     private final List<HeldReader> readers = new ArrayList<>();
@@ -255,4 +256,41 @@
         assertThat(audit.attempts.get("q.0")).isEqualTo(1);
         assertThat(turns.counters.get("attempts.moot")).isEqualTo(1);
     }
+
+    /** Guards against a part sent at the end of a long turn, in which its query's time had ended. */
+    @Test
+    void partOfAQueryWhoseTimeEndedWithinTheTurnIsNotSent() throws Exception {
+        start(1, s -> { });
+        held.letThrough();
+        letAnotherThrough();
+        ends.clear();
+        askFor("q", SHORT_DEADLINE_US);
+        awaitTime(turns.now() + SHORT_DEADLINE_US);
+        turn();
+        assertThat(ends).hasSize(1).doesNotContain("answered");
+        letAnotherThrough();
+        assertThat(audit.attempts.keySet()).containsExactly("after.0");
+    }
+
+    /** Guards against a part sent when its connection came up, before the same turn read that its client had left. */
+    @Test
+    void partOfAClientThatLeavesInTheTurnInWhichItsConnectionComesUpIsNotSent() throws Exception {
+        start(1, s -> { });
+        held.letThrough();
+        long number = ask("q");
+        turns.deadlines.sweep(turns.now());
+        for (int i = 0; i < TURNS_TO_CONNECT; i++) { // of the loop alone: nothing is swept
+            turns.loop.runNow();
+            Thread.sleep(1);
+        }
+        coordinator.left(number);
+        letAnotherThrough();
+        assertThat(audit.attempts.keySet()).containsExactly("after.0");
+    }
+
+    private void awaitTime(long time) throws InterruptedException {
+        while (turns.now() < time) {
+            Thread.sleep(1);
+        }
+    }
 }
--- a/coordinator/src/test/java/burlford/daemon/TurnsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/TurnsTest.java
@@ -42,6 +42,19 @@
         turns.loop.shutdownGracefully();
     }
 
+    /** Guards against requests taken to be new that had lain unread through a turn that read from no client. */
+    @Test
+    void requestsReadBehindALongTurnThatReadNoneCountFromThatTurnToo() throws Exception {
+        Turns turns = new Turns(Thread.currentThread(), () -> now);
+        turns.loop.execute(() -> now += BUSY);
+        turns.turn();
+        long[] since = new long[1];
+        turns.loop.execute(() -> since[0] = turns.unreadSince());
+        turns.turn();
+        assertThat(since[0]).isEqualTo(5_000_000);
+        turns.loop.shutdownGracefully();
+    }
+
     /** Guards against a start that was given up over one socket() that failed for a moment. */
     @Test
     void listenerIsBoundThoughTheFirstSocketsFail() throws Exception {
--- /dev/null
+++ b/coordinator/src/test/java/burlford/play/Audit.java
@@ -0,0 +1,170 @@
+package burlford.play;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * What clients and stand-in readers saw of one run, and which rules the coordinator broke by it. Safe for threads; all
+ * times are System.nanoTime. Tolerances cover the threads of a test on a busy machine, on top of what the rules allow.
+ */
+final class Audit {
+
+    /** What sending a part of a class twice does. */
+    enum Effect { RETRYABLE, DEDUP, FRAGILE }
+
+    /** A request as its client saw it. */
+    record Request(String id, Effect effect, long sentAt, int deadlineMs) { }
+
+    /** How a request ended. */
+    record Ending(Request request, SoakClient.End end, long at, String body) { }
+
+    /** A frame with a part that reached a reader. */
+    static final class Attempt {
+        final String part;
+        final String reader;
+        final long arrivedAt;
+        final long timeLeftMs;
+        /** When it was answered, cancelled, or its connection ended. */
+        volatile long endedAt = Long.MAX_VALUE;
+        /** The reader turned it away unseen. */
+        volatile boolean neverRan;
+
+        Attempt(String part, String reader, long arrivedAt, long timeLeftMs) {
+            this.part = part;
+            this.reader = reader;
+            this.arrivedAt = arrivedAt;
+            this.timeLeftMs = timeLeftMs;
+        }
+
+        String query() {
+            return part.substring(0, part.lastIndexOf('.'));
+        }
+
+        @Override
+        public String toString() {
+            return part + " at " + reader + " with " + timeLeftMs + " ms left";
+        }
+    }
+
+    private static final long MS = 1_000_000;
+    private static final long TOLERANCE_MS = 250;
+    /** An attempt may begin this long after its client has left. */
+    private static final long LATE_ATTEMPT_MS = 100;
+    private static final long DEADLINE_SLACK_MS = 150;
+    private static final long LATE_ANSWER_MS = 500;
+
+    private final Map<String, Request> requests = new ConcurrentHashMap<>();
+    private final List<Ending> endings = new CopyOnWriteArrayList<>();
+    private final Map<String, List<Attempt>> attempts = new ConcurrentHashMap<>();
+    /** By reader: since when it takes nothing new, as discovery has written to the coordinator. */
+    private final Map<String, Long> drainingSince = new ConcurrentHashMap<>();
+    private final long dedupWindowMs;
+    private final long drainGraceMs;
+
+    Audit(long dedupWindowMs, long drainGraceMs) {
+        this.dedupWindowMs = dedupWindowMs;
+        this.drainGraceMs = drainGraceMs;
+    }
+
+    void sent(Request request) {
+        requests.put(request.id(), request);
+    }
+
+    void ended(Ending ending) {
+        endings.add(ending);
+    }
+
+    List<Ending> endings() {
+        return endings;
+    }
+
+    Attempt arrived(String part, String reader, long timeLeftMs) {
+        Attempt attempt = new Attempt(part, reader, System.nanoTime(), timeLeftMs);
+        attempts.computeIfAbsent(part, p -> new CopyOnWriteArrayList<>()).add(attempt);
+        return attempt;
+    }
+
+    /** The attempt of a part that is out at a reader is over. */
+    void cancelled(String part, String reader) {
+        attempts.getOrDefault(part, List.of()).stream()
+                .filter(a -> a.reader.equals(reader) && a.endedAt == Long.MAX_VALUE)
+                .forEach(a -> a.endedAt = System.nanoTime());
+    }
+
+    /** Discovery has told that the reader drains. */
+    void notifiedOfDrain(String reader) {
+        drainingSince.putIfAbsent(reader, System.nanoTime());
+    }
+
+    /** The parts of a query that reached a reader. */
+    List<Attempt> attemptsOf(String query) {
+        return attempts.values().stream().flatMap(List::stream).filter(a -> a.query().equals(query)).toList();
+    }
+
+    /** A line for each broken rule. */
+    List<String> violations() {
+        List<String> broken = new ArrayList<>();
+        endings.forEach(e -> checkAnswer(e, broken));
+        attempts.values().forEach(all -> {
+            all.forEach(a -> checkAttempt(a, broken));
+            checkRepeats(all, broken);
+        });
+        return broken;
+    }
+
+    private void checkAnswer(Ending e, List<String> broken) {
+        List<Attempt> forwarded = attemptsOf(e.request().id());
+        long late = (e.at() - e.request().sentAt()) / MS - e.request().deadlineMs();
+        if (e.end() == SoakClient.End.TIMED_OUT || e.end() != SoakClient.End.LEFT && e.end() != SoakClient.End.CLOSED
+                && late > LATE_ANSWER_MS + TOLERANCE_MS) {
+            broken.add("lost: no answer in time: " + e);
+        } else if (e.end() == SoakClient.End.CLOSED && !forwarded.isEmpty()) {
+            broken.add("lost: closed without an answer: " + e);
+        } else if (e.end() == SoakClient.End.FAILED && e.body().contains("409 Conflict")) {
+            broken.add("in conflict with itself: " + e);
+        } else if (e.end() == SoakClient.End.ANSWERED && !(e.body().contains(SoakReader.value(e.request().id() + ".0"))
+                && e.body().contains(SoakReader.value(e.request().id() + ".1")))) {
+            broken.add("partial: answered with other values: " + e);
+        } else if (e.end() == SoakClient.End.REFUSED && e.request().effect() == Effect.FRAGILE
+                && forwarded.stream().anyMatch(a -> !a.neverRan)) {
+            broken.add("duplicate: refused what may have run: " + e);
+        }
+        forwarded.stream().filter(a -> (a.arrivedAt - e.at()) / MS > LATE_ATTEMPT_MS + TOLERANCE_MS)
+                .forEach(a -> broken.add("lost: sent after its end: " + a + ", " + e));
+    }
+
+    private void checkAttempt(Attempt a, List<String> broken) {
+        Request request = requests.get(a.query());
+        if (request != null) {
+            long left = request.deadlineMs() - (a.arrivedAt - request.sentAt()) / MS;
+            if (a.timeLeftMs > Math.max(0, left) + DEADLINE_SLACK_MS + TOLERANCE_MS) {
+                broken.add("deadline: told more than the " + left + " ms that the client has left: " + a);
+            }
+        }
+        Long draining = drainingSince.get(a.reader);
+        if (draining != null && (a.arrivedAt - draining) / MS > drainGraceMs + TOLERANCE_MS) {
+            broken.add("drain: sent to a draining reader: " + a);
+        }
+    }
+
+    private void checkRepeats(List<Attempt> all, List<String> broken) {
+        for (int i = 1; i < all.size(); i++) {
+            Attempt next = all.get(i);
+            Request request = requests.get(next.query());
+            for (Attempt before : all.subList(0, i)) {
+                if ((before.endedAt - next.arrivedAt) / MS > TOLERANCE_MS) {
+                    broken.add("duplicate: two attempts out: " + before + ", " + next);
+                }
+            }
+            boolean mayHaveRun = all.subList(0, i).stream().anyMatch(a -> !a.neverRan);
+            long since = (next.arrivedAt - all.get(0).arrivedAt) / MS;
+            if (request != null && mayHaveRun && (request.effect() == Effect.FRAGILE
+                    || request.effect() == Effect.DEDUP && since > dedupWindowMs + DEADLINE_SLACK_MS + TOLERANCE_MS)) {
+                broken.add("duplicate: sent again " + since + " ms after the first: " + next + ", " + request);
+            }
+        }
+    }
+}
--- a/coordinator/src/test/java/burlford/play/DescriptorShortageTest.java
+++ b/coordinator/src/test/java/burlford/play/DescriptorShortageTest.java
@@ -7,9 +7,6 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.junit.jupiter.api.Test;
@@ -25,12 +22,11 @@
     /** Guards against requests that waited behind a listener standing still, or were lost to a failed socket(). */
     @Test
     void requestsGetTheirAnswerWhileNoDescriptorIsLeft() throws Exception {
-        Map<String, Long> lastSeen = new ConcurrentHashMap<>();
+        Audit audit = new Audit(DEADLINE_MS, DEADLINE_MS);
         ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
-        List<SoakReader> readers = List.of(new SoakReader(1, timer, lastSeen), new SoakReader(2, timer, lastSeen),
-                new SoakReader(3, timer, lastSeen));
+        List<SoakReader> readers = List.of(new SoakReader("s0", 1, timer, audit),
+                new SoakReader("s1", 2, timer, audit), new SoakReader("s2", 3, timer, audit));
         List<Socket> idle = new ArrayList<>();
-        List<SoakClient.Outcome> outcomes = new CopyOnWriteArrayList<>();
         try (Program program = Program.serveWithin(DESCRIPTORS,
                 ShutdownSoakTest.configuration(readers, DEADLINE_MS, false))) {
             int port = program.port("platform");
@@ -38,23 +34,23 @@
             for (int i = 0; i < IDLE_CLIENTS; i++) {
                 idle.add(new Socket(InetAddress.getLoopbackAddress(), port));
             }
-            SoakClient client = new SoakClient(port, "c", DEADLINE_MS, 1, outcomes);
+            SoakClient client = new SoakClient(port, "c", DEADLINE_MS, 1, audit);
             Thread thread = new Thread(client);
             thread.start();
             long limit = System.nanoTime() + Program.PATIENCE_MS * 1_000_000;
-            while (outcomes.size() < REQUESTS && System.nanoTime() < limit) {
+            while (audit.endings().size() < REQUESTS && System.nanoTime() < limit) {
                 Thread.sleep(1);
             }
             client.stop();
             thread.join();
-            assertThat(outcomes).as(program.log()).hasSizeGreaterThanOrEqualTo(REQUESTS);
+            assertThat(audit.endings()).as(program.log()).hasSizeGreaterThanOrEqualTo(REQUESTS);
             assertThat(program.log()).contains("Too many open files");
         } finally {
             timer.shutdownNow();
             close(readers, idle);
         }
-        assertThat(ShutdownSoakTest.broken(outcomes, lastSeen)).isEmpty();
-        assertThat(outcomes.get(0).end()).isNotEqualTo(SoakClient.End.TIMED_OUT);
+        assertThat(audit.violations()).isEmpty();
+        assertThat(audit.endings().get(0).end()).isNotEqualTo(SoakClient.End.TIMED_OUT);
     }
 
     /** Here each class is a file of its own, which could not be opened later; in the jar all are open from the start. */
--- a/coordinator/src/test/java/burlford/play/ShutdownSoakTest.java
+++ b/coordinator/src/test/java/burlford/play/ShutdownSoakTest.java
@@ -11,10 +11,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -37,8 +34,6 @@
             List.of("TERM", "HUP"), List.of("TERM", "TERM"), List.of("HUP", "HUP", "TERM", "HUP"));
     private static final int QUIET_MS = 700;
     private static final int KILL_BEHIND_DEADLINE_MS = 700;
-    /** Of the rule 0.1 s; the rest is for the threads of this test on a busy machine. */
-    private static final long LATE_PART_NS = 500_000_000L;
 
     /** Guards against requests that a stopping process read and never answered, or sent on after their end. */
     @Test
@@ -53,12 +48,11 @@
         SplittableRandom random = new SplittableRandom(seed);
         int deadlineMs = DEADLINES_MS[seed % DEADLINES_MS.length];
         boolean crowd = seed % 4 == 0;
-        Map<String, Long> lastSeen = new ConcurrentHashMap<>();
-        List<SoakClient.Outcome> outcomes = new CopyOnWriteArrayList<>();
+        Audit audit = new Audit(deadlineMs, deadlineMs);
         ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
         List<SoakReader> readers = new ArrayList<>();
         for (int i = 0; i < READERS; i++) {
-            readers.add(new SoakReader(random.nextLong(), timer, lastSeen));
+            readers.add(new SoakReader("s" + i, random.nextLong(), timer, audit));
         }
         List<Socket> idle = new ArrayList<>();
         try (Program program = Program.serve(configuration(readers, deadlineMs, crowd), null)) {
@@ -69,7 +63,7 @@
             List<SoakClient> clients = new ArrayList<>();
             List<Thread> threads = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
-                SoakClient client = new SoakClient(port, "c" + i, deadlineMs, random.nextLong(), outcomes);
+                SoakClient client = new SoakClient(port, "c" + i, deadlineMs, random.nextLong(), audit);
                 clients.add(client);
                 threads.add(new Thread(client));
             }
@@ -92,8 +86,8 @@
                 s.close();
             }
         }
-        assertThat(outcomes).as("seed " + seed).anyMatch(o -> o.end() == SoakClient.End.ANSWERED);
-        return broken(outcomes, lastSeen);
+        assertThat(audit.endings()).as("seed " + seed).anyMatch(o -> o.end() == SoakClient.End.ANSWERED);
+        return audit.violations();
     }
 
     private static void signalAndKill(Program program, List<String> signals, int deadlineMs) throws Exception {
@@ -109,28 +103,6 @@
         program.close();
     }
 
-    /** The rules that these requests broke, a line each. */
-    static List<String> broken(List<SoakClient.Outcome> outcomes, Map<String, Long> lastSeen) {
-        List<String> broken = new ArrayList<>();
-        for (SoakClient.Outcome o : outcomes) {
-            Long seen = lastSeen.get(o.id());
-            if (o.end() == SoakClient.End.TIMED_OUT) {
-                broken.add("no answer in time: " + o);
-            } else if (o.end() == SoakClient.End.CLOSED && seen != null) {
-                broken.add("closed without an answer: " + o);
-            } else if (o.end() == SoakClient.End.FAILED && o.body().contains("409 Conflict")) {
-                broken.add("in conflict with itself: " + o);
-            } else if (seen != null && seen - o.endedAt() > LATE_PART_NS) {
-                broken.add("a part came after its end: " + o);
-            } else if (o.end() == SoakClient.End.ANSWERED
-                    && !(o.body().contains(SoakReader.value(o.id() + ".0"))
-                    && o.body().contains(SoakReader.value(o.id() + ".1")))) {
-                broken.add("answered with other values: " + o);
-            }
-        }
-        return broken;
-    }
-
     static ObjectNode configuration(List<SoakReader> readers, int deadlineMs, boolean crowd)
             throws IOException {
         ObjectNode configuration;
@@ -147,6 +119,8 @@
         ((ObjectNode) configuration.at("/settings/allowed")).put("connectTimeout", 250_000).put("maxOpen", 400);
         configuration.at("/settings/classes").forEach(c -> ((ObjectNode) c).put("deadline", deadlineMs * 1000)
                 .put("target", deadlineMs * 700));
+        ((ObjectNode) configuration.at("/settings/classes/0")).put("effect", "dedup")
+                .put("memorySpan", deadlineMs * 1000);
         if (crowd) {
             ((ObjectNode) configuration.get("limits")).put("sockets", FEW_DESCRIPTORS);
         }
--- a/coordinator/src/test/java/burlford/play/SoakClient.java
+++ b/coordinator/src/test/java/burlford/play/SoakClient.java
@@ -6,7 +6,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 
 /** A client that sends one request after the other, on one connection for as long as that stays open. */
@@ -15,9 +15,12 @@
     /** How a request ended, as its client saw it. */
     enum End { ANSWERED, REFUSED, FAILED, CLOSED, TIMED_OUT, LEFT }
 
-    /** sentAt, endedAt: System.nanoTime. */
-    record Outcome(String id, End end, long sentAt, long endedAt, String body) { }
+    /** How a request ended and what its connection gave. */
+    record Reply(End end, String text) { }
 
+    /** Classes of the configuration by the effect that a second attempt has. */
+    static final Map<Audit.Effect, String> CLASSES = Map.of(Audit.Effect.RETRYABLE, "car-lookup", Audit.Effect.DEDUP,
+            "shift-report", Audit.Effect.FRAGILE, "billing");
     private static final int GRACE_MS = 500;
     private static final double LEAVES = 0.05;
     private static final int RETRY_MS = 5;
@@ -26,16 +29,15 @@
     private final String name;
     private final int deadlineMs;
     private final SplittableRandom random;
-    private final List<Outcome> outcomes;
+    private final Audit audit;
     private volatile boolean over;
 
-    /** outcomes: of all clients, safe for threads. */
-    SoakClient(int port, String name, int deadlineMs, long seed, List<Outcome> outcomes) {
+    SoakClient(int port, String name, int deadlineMs, long seed, Audit audit) {
         this.port = port;
         this.name = name;
         this.deadlineMs = deadlineMs;
         this.random = new SplittableRandom(seed);
-        this.outcomes = outcomes;
+        this.audit = audit;
     }
 
     void stop() {
@@ -69,41 +71,50 @@
 
     /** Whether the connection can be used again. */
     private boolean ask(Socket socket, String id) throws IOException {
-        String body = "{\"parts\":[{\"id\":0},{\"id\":1}],\"expr\":\"e\"}";
-        long sentAt = System.nanoTime();
+        Audit.Effect effect = Audit.Effect.values()[random.nextInt(Audit.Effect.values().length)];
+        Audit.Request request = new Audit.Request(id, effect, System.nanoTime(), deadlineMs);
+        audit.sent(request);
         boolean leaves = random.nextDouble() < LEAVES;
         socket.setSoTimeout(leaves ? 1 + random.nextInt(deadlineMs) : deadlineMs + GRACE_MS);
-        StringBuilder reply = new StringBuilder();
-        End end;
+        Reply reply;
         try {
-            socket.getOutputStream().write(("POST /api/" + id + " HTTP/1.1\r\nReq-Id: " + id
-                    + "\r\nReq-Kind: car-lookup\r\nReq-Owner: duna-cab\r\nReq-Deadline-Ms: " + deadlineMs
-                    + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
-            end = read(socket.getInputStream(), reply);
+            write(socket, id, deadlineMs, effect);
+            reply = read(socket);
         } catch (SocketTimeoutException e) {
-            end = leaves ? End.LEFT : End.TIMED_OUT;
+            reply = new Reply(leaves ? End.LEFT : End.TIMED_OUT, "");
         } catch (IOException e) {
-            end = End.CLOSED;
+            reply = new Reply(End.CLOSED, "");
         }
-        outcomes.add(new Outcome(id, end, sentAt, System.nanoTime(), reply.toString()));
-        return (end == End.ANSWERED || end == End.REFUSED || end == End.FAILED)
-                && !reply.toString().contains("connection: close");
+        audit.ended(new Audit.Ending(request, reply.end(), System.nanoTime(), reply.text()));
+        return (reply.end() == End.ANSWERED || reply.end() == End.REFUSED || reply.end() == End.FAILED)
+                && !reply.text().contains("connection: close");
+    }
+
+    /** Sends a request for two parts. */
+    static void write(Socket socket, String id, int deadlineMs, Audit.Effect effect) throws IOException {
+        String body = "{\"parts\":[{\"id\":0},{\"id\":1}],\"expr\":\"e\"}";
+        socket.getOutputStream().write(("POST /api/" + id + " HTTP/1.1\r\nReq-Id: " + id + "\r\nReq-Kind: "
+                + CLASSES.get(effect) + "\r\nReq-Owner: duna-cab\r\nReq-Deadline-Ms: " + deadlineMs
+                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
     }
 
-    private static End read(InputStream in, StringBuilder reply) throws IOException {
+    /** Reads one reply, within the socket's time-out. */
+    static Reply read(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        StringBuilder reply = new StringBuilder();
         byte[] some = new byte[4096];
         while (!isWhole(reply)) {
             int n = in.read(some);
             if (n < 0) {
-                return End.CLOSED;
+                return new Reply(End.CLOSED, reply.toString());
             }
             reply.append(new String(some, 0, n, StandardCharsets.US_ASCII));
         }
-        return switch (reply.substring(9, 12)) {
+        return new Reply(switch (reply.substring(9, 12)) {
             case "200" -> End.ANSWERED;
             case "429", "503" -> End.REFUSED;
             default -> End.FAILED;
-        };
+        }, reply.toString());
     }
 
     private static boolean isWhole(StringBuilder reply) {
