Look again at a part's query, time and reader right before it is handed over

Change: policy.SendCheck looks at the query, the time left and the reader's state as each call is handed over; a call that may not begin ends as moot, and the query is answered at once. Why it works: the check stands behind everything that the turn did. ReaderSocketsTest.partOfAQueryWhoseTimeEndedWithinTheTurnIsNotSent failed before and passes, with 59 others of the readers, lanes and rules.

--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -9,6 +9,7 @@
 import burlford.policy.Dispatcher.Decisions;
 import burlford.policy.Dispatcher.Ending;
 import burlford.policy.Dispatcher.Send;
+import burlford.policy.SendCheck;
 import burlford.policy.Word;
 import java.util.ArrayDeque;
 import java.util.Arrays;
@@ -18,6 +19,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
@@ -546,7 +548,7 @@
     private void handOver() {
         try {
             for (Call call = unsent.poll(); call != null; call = unsent.poll()) {
-                if (!call.ended) {
+                if (!call.ended && clearToSend(call)) {
                     call.handedOver = true;
                     readers.send(call);
                 }
@@ -558,6 +560,30 @@
         }
     }
 
+    /**
+     * Looks again at a call whose frame is about to be written.
+     *
+     * @return whether it may leave; where it may not, it has ended
+     */
+    public boolean clearToSend(Call call) {
+        Open o = queries.get(call.send.query());
+        ReaderEntry reader = list.get(call.send.reader());
+        SendCheck.Facts facts = new SendCheck.Facts(!call.ended && o != null && !o.ended, call.deadline,
+                reader == null ? Status.GONE : reader.status(), true);
+        Optional<SendCheck.Fault> fault = SendCheck.fault(now(), facts);
+        fault.ifPresent(f -> withhold(call, f));
+        return fault.isEmpty();
+    }
+
+    private void withhold(Call call, SendCheck.Fault fault) {
+        counters.add("attempts.withheld." + fault.name().toLowerCase());
+        events.log("part", call.partId, "attempt", call.send.attempt(), "not sent to", call.send.reader(), "any more:",
+                fault);
+        if (!call.ended && (!call.handedOver || readers.withdraw(call))) {
+            ended(call, Outcome.MOOT, null, NO_LOAD);
+        }
+    }
+
     private void cancel(Cancel c) {
         Open o = queries.get(c.query());
         Call call = o == null ? null : o.calls.get(key(c.part(), c.attempt()));
--- /dev/null
+++ b/coordinator/src/main/java/burlford/policy/SendCheck.java
@@ -0,0 +1,43 @@
+package burlford.policy;
+
+import burlford.policy.Aggregator.Status;
+import java.util.Optional;
+
+/**
+ * Looks again at an attempt right before its frame is written. It was decided earlier: since then its event loop may have
+ * been busy or held up, or the connection may have taken its time to come up.
+ */
+public final class SendCheck {
+
+    /** A reader is told whole milliseconds: with less left an attempt cannot be told its time. */
+    private static final long LEAST_TIME_LEFT_US = 1_000;
+
+    /** Why an attempt does not begin any more. */
+    public enum Fault { QUERY_OVER, TIME_OVER, READER_NOT_READY, CLIENT_LEFT }
+
+    /**
+     * What is known of an attempt as it is about to begin.
+     *
+     * @param queryOpen its query has no final answer yet
+     * @param deadline when the coordinator stops waiting for it, in microseconds
+     * @param reader the state of its reader; GONE where it is not listed
+     * @param clientWaits its query's client has not closed its connection
+     */
+    public record Facts(boolean queryOpen, long deadline, Status reader, boolean clientWaits) { }
+
+    private SendCheck() { }
+
+    /** Why the attempt may not begin now; empty where it may. */
+    public static Optional<Fault> fault(long now, Facts facts) {
+        if (!facts.queryOpen()) {
+            return Optional.of(Fault.QUERY_OVER);
+        }
+        if (facts.deadline() - now < LEAST_TIME_LEFT_US) {
+            return Optional.of(Fault.TIME_OVER);
+        }
+        if (facts.reader() != Status.READY) {
+            return Optional.of(Fault.READER_NOT_READY);
+        }
+        return facts.clientWaits() ? Optional.empty() : Optional.of(Fault.CLIENT_LEFT);
+    }
+}
