Write what waited for a connection at the end of the turn in which that comes up

Cause: ReaderConnection.connected wrote all that waited in the middle of the turn, before the same turn had read the clients' ends and the list, and without a look at the time that had passed while it came up. Change: it is written at the turn's end, each call after the check that calls on open connections pass; a call given up before its frame was written is not cancelled at the reader any more. ReaderSocketsTest.partOfAClientThatLeavesInTheTurnInWhichItsConnectionComesUpIsNotSent failed before and passes; lanes and transcripts pass.

--- a/coordinator/src/main/java/burlford/servers/ReaderConnection.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderConnection.java
@@ -107,12 +107,21 @@
         pool.deadlines().cancel(connectBy);
         if (!closed) {
             up = true;
-            calls.values().forEach(this::write);
             probes.forEach(p -> write(Frame.of('U', "")));
+            pool.deadlines().at(pool.now(), this::writeWaiting);
             rest();
         }
     }
 
+    /** At the end of a turn, when all that came in it is read: a client that left or a reader that drains goes first. */
+    private void writeWaiting() {
+        for (Carried c : List.copyOf(calls.values())) {
+            if (!closed && !c.begun && calls.get(c.call.partId) == c && pool.listener().clearToSend(c.call)) {
+                write(c);
+            }
+        }
+    }
+
     private void notConnected(Throwable cause) {
         pool.counters().add("readers.connections.failed");
         LOG.log(Level.FINE, "reader {0}: no connection: {1}", new Object[] {reader, cause.getMessage()});
@@ -183,8 +192,8 @@
 
     /** The reader is told at once, so that no further attempt of the part can overtake the word. */
     void giveUp(Call call) {
-        calls.remove(call.partId);
-        if (up && !closed) {
+        Carried c = calls.remove(call.partId);
+        if (c.begun && !closed) {
             write(Frame.of('K', call.partId));
             givenUp.add(call.partId);
             if (givenUp.size() > MOST_GIVEN_UP) {
