Look at the client's connection again right before its parts are sent

Cause: a client's end that lies behind its request in the socket is read a turn of the event loop later than the request, since netty takes a read that does not fill its buffer for the last; and one that comes while a turn goes on is read in the next turn: the parts leave at the end of this one. Change: reads of client connections go on until nothing is left, and a connection last read over 20 ms ago is read again as a part is about to be sent; a client found gone ends its query. Why it works: whatever held the coordinator up, the client's end is looked for behind it.

--- a/coordinator/src/main/java/burlford/clients/Exchange.java
+++ b/coordinator/src/main/java/burlford/clients/Exchange.java
@@ -59,6 +59,11 @@
         }
     }
 
+    /** Whether its client has not closed the connection, as of now or of a moment ago. */
+    public boolean clientIsConnected() {
+        return connection.isConnected();
+    }
+
     boolean isReplied() {
         return replied;
     }
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -1,6 +1,7 @@
 package burlford.clients;
 
 import burlford.core.Deadlines;
+import burlford.net.Reads;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -61,6 +62,8 @@
     /** So long, and for so many bytes, what still comes in behind a last reply is read and thrown away. */
     private static final long LEAVE_TIME = 1_000_000;
     private static final int MOST_THROWN_AWAY = 1 << 18;
+    /** What was read this long ago still tells whether the client is there; an attempt may begin 0.1 s after its end. */
+    private static final long READ_AGAIN_US = 20_000;
 
     /** A front: takes each request and replies to it, now or later. */
     public interface Front {
@@ -94,6 +97,8 @@
     /** Replies on their way into the socket. */
     private int unwritten;
     private int thrownAway;
+    /** When all that had come was read. */
+    private long readAt;
     private Deadlines.Deadline by;
 
     private HttpConnection(Front front, LongSupplier clock, BooleanSupplier leaving, Connections connections) {
@@ -128,6 +133,12 @@
                 c.channel().config().setAutoRead(false);
             }
         }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext c) {
+            readAt = connections.now();
+            c.fireChannelReadComplete();
+        }
     }
 
     private static final class Decoder extends HttpRequestDecoder {
@@ -160,6 +171,8 @@
     @Override
     public void handlerAdded(ChannelHandlerContext c) {
         ctx = c;
+        readAt = connections.now();
+        c.channel().config().setRecvByteBufAllocator(Reads.untilEmpty());
         c.channel().closeFuture().addListener(onClose);
         connections.opened(this);
         crowded = connections.crowded();
@@ -170,6 +183,14 @@
         }
     }
 
+    /** Reads again where the last read is old: the client's end may have come since. */
+    boolean isConnected() {
+        if (connections.now() - readAt > READ_AGAIN_US) {
+            Reads.readNow(ctx.channel());
+        }
+        return ctx.channel().isActive();
+    }
+
     private void gone() {
         connections.closed(this);
         connections.deadlines().cancel(by);
--- a/coordinator/src/main/java/burlford/clients/PlatformFront.java
+++ b/coordinator/src/main/java/burlford/clients/PlatformFront.java
@@ -137,6 +137,11 @@
             exchange.reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "text/plain", "refused\n", comeBack(retryAfter));
         }
 
+        @Override
+        public boolean stillWaits() {
+            return exchange.clientIsConnected();
+        }
+
         @Override
         public void failed(String why) {
             exchange.reply(HttpResponseStatus.BAD_GATEWAY, "text/plain", why + "\n", Map.of());
--- a/coordinator/src/main/java/burlford/clients/package-info.java
+++ b/coordinator/src/main/java/burlford/clients/package-info.java
@@ -1,4 +1,5 @@
 /**
- * HTTP connections of all fronts, and the platform front. May use {@code core} and {@code policy}.
+ * HTTP connections of all fronts, and the platform front. May use {@code core}, {@code net} and
+ * {@code policy}.
  */
 package burlford.clients;
--- a/coordinator/src/main/java/burlford/core/Client.java
+++ b/coordinator/src/main/java/burlford/core/Client.java
@@ -12,4 +12,9 @@
     void refused(long retryAfter);
 
     void failed(String why);
+
+    /** Whether it still waits, as of now or of a moment ago: it has not closed its connection. */
+    default boolean stillWaits() {
+        return true;
+    }
 }
--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -569,7 +569,7 @@
         Open o = queries.get(call.send.query());
         ReaderEntry reader = list.get(call.send.reader());
         SendCheck.Facts facts = new SendCheck.Facts(!call.ended && o != null && !o.ended, call.deadline,
-                reader == null ? Status.GONE : reader.status(), true);
+                reader == null ? Status.GONE : reader.status(), o != null && o.client.stillWaits());
         Optional<SendCheck.Fault> fault = SendCheck.fault(now(), facts);
         fault.ifPresent(f -> withhold(call, f));
         return fault.isEmpty();
@@ -579,6 +579,9 @@
         counters.add("attempts.withheld." + fault.name().toLowerCase());
         events.log("part", call.partId, "attempt", call.send.attempt(), "not sent to", call.send.reader(), "any more:",
                 fault);
+        if (fault == SendCheck.Fault.CLIENT_LEFT) {
+            left(call.send.query());
+        }
         if (!call.ended && (!call.handedOver || readers.withdraw(call))) {
             ended(call, Outcome.MOOT, null, NO_LOAD);
         }
--- a/coordinator/src/main/java/burlford/search/SearchFront.java
+++ b/coordinator/src/main/java/burlford/search/SearchFront.java
@@ -141,6 +141,11 @@
                     ? Map.of() : Map.of("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfter / 1e6)));
         }
 
+        @Override
+        public boolean stillWaits() {
+            return exchange.clientIsConnected();
+        }
+
         @Override
         public void failed(String why) {
             ObjectNode body = error(HttpResponseStatus.GATEWAY_TIMEOUT, "search_phase_execution_exception", why, Map.of());
--- a/coordinator/src/test/java/burlford/ArchitectureTest.java
+++ b/coordinator/src/test/java/burlford/ArchitectureTest.java
@@ -39,7 +39,7 @@
                 .whereLayer("clients").mayOnlyBeAccessedByLayers("fronts", "daemon")
                 .whereLayer("lanes").mayOnlyBeAccessedByLayers("daemon")
                 .whereLayer("core").mayOnlyBeAccessedByLayers("clients", "fronts", "readers", "lanes", "daemon")
-                .whereLayer("net").mayOnlyBeAccessedByLayers("fronts", "readers", "daemon")
+                .whereLayer("net").mayOnlyBeAccessedByLayers("clients", "fronts", "readers", "daemon")
                 .whereLayer("settings").mayOnlyBeAccessedByLayers("adapter", "daemon", "command")
                 .check(CLASSES);
     }
--- /dev/null
+++ b/coordinator/src/test/java/burlford/clients/ClientEndTest.java
@@ -0,0 +1,103 @@
+package burlford.clients;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import burlford.core.Counters;
+import burlford.core.Crowd;
+import burlford.core.Deadlines;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ManualIoEventLoop;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** When the end of a client's connection is seen, on a real socket. */
+class ClientEndTest {
+
+    private static final byte[] REQUEST = "POST /api/a HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"
+            .getBytes(StandardCharsets.US_ASCII);
+    private static final long PATIENCE_NS = 20_000_000_000L;
+
+    private final ManualIoEventLoop loop = new ManualIoEventLoop(Thread.currentThread(), NioIoHandler.newFactory());
+    private Exchange taken;
+    private boolean left;
+
+    private final HttpConnection.Front front = new HttpConnection.Front() {
+        @Override
+        public void serve(Exchange e) {
+            taken = e;
+            e.onLeft(() -> left = true);
+        }
+
+        @Override
+        public void reject(Exchange e, HttpResponseStatus status, String fault) { }
+
+        @Override
+        public void crowded(Exchange e, String why) { }
+    };
+
+    private Socket connect() throws Exception {
+        Connections connections = new Connections(100, Crowd.alone(1 << 20), new Counters(), new Deadlines(),
+                ClientEndTest::now);
+        Channel listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline().addLast(HttpConnection.handlers(front, ClientEndTest::now, () -> false,
+                                connections));
+                    }
+                }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).channel();
+        while (!listener.isActive()) {
+            loop.runNow();
+        }
+        return new Socket(InetAddress.getLoopbackAddress(), ((InetSocketAddress) listener.localAddress()).getPort());
+    }
+
+    private static long now() {
+        return System.nanoTime() / 1000;
+    }
+
+    private void turnUntilTaken() {
+        long limit = System.nanoTime() + PATIENCE_NS;
+        while (taken == null && System.nanoTime() < limit) {
+            loop.run(TimeUnit.MILLISECONDS.toNanos(1));
+        }
+        assertThat(taken).isNotNull();
+    }
+
+    /** Guards against attempts for a client that left in the turn of the event loop that read its request. */
+    @Test
+    void endIsSeenBeforeTheEventLoopTurnsAgain() throws Exception {
+        try (Socket client = connect()) {
+            client.getOutputStream().write(REQUEST);
+            turnUntilTaken();
+            assertThat(taken.clientIsConnected()).isTrue();
+            client.close();
+            long limit = System.nanoTime() + PATIENCE_NS;
+            while (taken.clientIsConnected() && System.nanoTime() < limit) {
+                Thread.sleep(1);
+            }
+            assertThat(taken.clientIsConnected()).isFalse();
+        }
+    }
+
+    /** Guards against attempts for a client whose end lay in the socket right behind its request. */
+    @Test
+    void endBehindARequestIsReadWithIt() throws Exception {
+        try (Socket client = connect()) {
+            client.getOutputStream().write(REQUEST);
+            client.close();
+            Thread.sleep(20); // both have come
+            turnUntilTaken();
+            assertThat(left).isTrue();
+        }
+    }
+}
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -47,6 +47,8 @@
     private final AtomicInteger failures = new AtomicInteger();
     private final List<String> ends = new ArrayList<>();
     private final List<Thread> threads = new ArrayList<>();
+    /** Clients are found to be there when they are looked at. */
+    private boolean waits = true;
     private Turns turns;
     private Coordinator coordinator;
 
@@ -113,6 +115,11 @@
             public void failed(String why) {
                 end("failed");
             }
+
+            @Override
+            public boolean stillWaits() {
+                return waits;
+            }
         });
     }
 
@@ -288,6 +295,22 @@
         assertThat(audit.attempts.keySet()).containsExactly("after.0");
     }
 
+    /** Guards against parts sent for a client whose end the event loop has not come to. */
+    @Test
+    void partsOfAClientThatIsFoundGoneAreNotSent() throws Exception {
+        start(1, s -> { });
+        held.letThrough();
+        letAnotherThrough();
+        ask("q");
+        waits = false;
+        turn();
+        waits = true;
+        assertThat(coordinator.idle()).isTrue();
+        assertThat(turns.counters.get("queries.left")).isEqualTo(1);
+        letAnotherThrough();
+        assertThat(audit.attempts.keySet()).containsExactly("after.0");
+    }
+
     private void awaitTime(long time) throws InterruptedException {
         while (turns.now() < time) {
             Thread.sleep(1);
