Count a request's time from when it may have come, also behind pauses and in the backlog

Cause: only a turn that read from a client counted into the age of what the next one read; not a turn that accepted, read lists or readers, nor a pause of the process while it waited (the wait is interrupted then, tells nothing and looks like an idle one). Connections left in the backlog counted as new. Change: the event loop waits at most 50 ms, knows from the first look at the clock when the network told what had come, polls without a wait behind a turn of over 5 ms and takes an overrun wait for a pause; BacklogAge notes since when an accepted connection may have waited.

--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -1,6 +1,7 @@
 package burlford.clients;
 
 import burlford.core.Deadlines;
+import burlford.net.BacklogAge;
 import burlford.net.Reads;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -64,6 +65,9 @@
     private static final int MOST_THROWN_AWAY = 1 << 18;
     /** What was read this long ago still tells whether the client is there; an attempt may begin 0.1 s after its end. */
     private static final long READ_AGAIN_US = 20_000;
+    /** A request read this soon after its connection was accepted may have waited in the listener's backlog with it. */
+    private static final long SOON_AFTER_ACCEPT_US = 10_000;
+    private static final long NO_BACKLOG = Long.MAX_VALUE;
 
     /** A front: takes each request and replies to it, now or later. */
     public interface Front {
@@ -99,6 +103,9 @@
     private int thrownAway;
     /** When all that had come was read. */
     private long readAt;
+    private long acceptedAt;
+    /** Since when it may have waited in the listener's backlog. */
+    private long waitingSince = NO_BACKLOG;
     private Deadlines.Deadline by;
 
     private HttpConnection(Front front, LongSupplier clock, BooleanSupplier leaving, Connections connections) {
@@ -171,7 +178,10 @@
     @Override
     public void handlerAdded(ChannelHandlerContext c) {
         ctx = c;
-        readAt = connections.now();
+        acceptedAt = connections.now();
+        readAt = acceptedAt;
+        Long backlog = c.channel().attr(BacklogAge.WAITING_SINCE).getAndSet(null);
+        waitingSince = backlog == null ? NO_BACKLOG : backlog;
         c.channel().config().setRecvByteBufAllocator(Reads.untilEmpty());
         c.channel().closeFuture().addListener(onClose);
         connections.opened(this);
@@ -191,6 +201,13 @@
         return ctx.channel().isActive();
     }
 
+    /** Since when what is read now may have waited for that. */
+    private long arrivalTime() {
+        long unreadSince = clock.getAsLong();
+        boolean first = unreadSince - acceptedAt <= SOON_AFTER_ACCEPT_US;
+        return first ? Math.min(unreadSince, waitingSince) : unreadSince;
+    }
+
     private void gone() {
         connections.closed(this);
         connections.deadlines().cancel(by);
@@ -280,7 +297,7 @@
             fault = new BodyBudget.NoRoom();
         }
         Exchange e = new Exchange(this, r.method(), r.uri(), r.headers().copy(), fault != null ? new byte[0]
-                : ByteBufUtil.getBytes(r.content()), clock.getAsLong(), fault, fault == null && HttpUtil.isKeepAlive(r));
+                : ByteBufUtil.getBytes(r.content()), arrivalTime(), fault, fault == null && HttpUtil.isKeepAlive(r));
         e.held = fault == null ? size : 0;
         e.excess = waiting.size() > MOST_WAITING;
         waiting.add(e);
--- a/coordinator/src/main/java/burlford/daemon/Daemon.java
+++ b/coordinator/src/main/java/burlford/daemon/Daemon.java
@@ -4,6 +4,7 @@
 import burlford.discovery.Watch;
 import burlford.inventory.Inventory;
 import burlford.net.AcceptErrors;
+import burlford.net.BacklogAge;
 import burlford.policy.Aggregator.ListKind;
 import burlford.store.MemoryStore;
 import burlford.store.ReplicatedStore;
@@ -214,7 +215,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true);
         taker.accept(listener);
         ChannelFuture bound = turns.bind(listener, at);
-        bound.channel().pipeline().addFirst(new AcceptErrors(
+        bound.channel().pipeline().addFirst(new BacklogAge(turns::unreadSince), new AcceptErrors(
                 (wait, action) -> turns.deadlines.at(turns.now() + wait, action),
                 () -> turns.counters.add("clients.accepts.failed"), serving::makeRoom));
         LOG.log(Level.INFO, "{0} serves {1} at {2}", new Object[] {shared.configuration().name(), what,
--- a/coordinator/src/main/java/burlford/daemon/Turns.java
+++ b/coordinator/src/main/java/burlford/daemon/Turns.java
@@ -21,51 +21,95 @@
 final class Turns {
 
     private static final Logger LOG = Logger.getLogger(Turns.class.getName());
-    private static final long LONGEST_TURN = 1_000_000;
+    /** A longer wait would hide that the process was held up while it waited. */
+    private static final long LONGEST_WAIT = 50_000;
+    private static final long LONGEST_WAKE_UP = 20_000;
+    /** After a longer turn what came meanwhile is read first, apart from what comes later. */
+    private static final long SHORT_TURN = 5_000;
     private static final long LONGEST_BIND = 10_000_000;
     private static final long BIND_RETRY = 50_000;
     private static final long NEVER = Long.MIN_VALUE;
-    /** A turn that takes longer is logged: what came meanwhile lay unread for that long. */
+    /** A turn that takes longer is logged: what came meanwhile lay unread. */
     private static final long LONG_TURN = 100_000;
 
     final ManualIoEventLoop loop;
     final Deadlines deadlines = new Deadlines();
     final Counters counters = new Counters();
     final LongSupplier clock;
-    /** When this turn first read from a client, and how long the one before went on from there. */
-    private long woke = NEVER;
+    private final LongSupplier source;
+    /** When this turn asked the network what had come, and how long it was ready to wait for that; 0: it was not. */
+    private long polledAt;
+    private long pollWait;
+    private boolean polling;
+    /** When the first of what had come was looked at. */
+    private long firstLook = NEVER;
+    /** When the turn before was told what had come, and how long it went on from there. */
+    private long previousPoll;
     private long spent;
 
     /** thread: the one that turns it; null: the first that does. clock: microseconds. */
     Turns(Thread thread, LongSupplier clock) {
         this.loop = new ManualIoEventLoop(thread, NioIoHandler.newFactory());
-        this.clock = clock;
+        this.source = clock;
+        this.clock = this::now;
+        this.previousPoll = now();
     }
 
     long now() {
-        return clock.getAsLong();
+        long now = source.getAsLong();
+        firstLook = polling && firstLook == NEVER ? now : firstLook;
+        return now;
     }
 
     /**
-     * What is read now may have come when the turn before had just looked: a request counts from then, or a loop that
-     * was short of the core would give it time that its client has not. After a wait it is younger, by that turn's
-     * length at most.
+     * Since when what is read now may have lain unread; a request counts from then, or a loop that was held up would give
+     * it time that its client has not. Exact to some 50 ms, within what is allowed of a deadline.
      */
     long unreadSince() {
-        woke = woke == NEVER ? now() : woke;
-        return woke - spent;
+        now();
+        if (pollWait == 0) {
+            return previousPoll;
+        }
+        return wasHeldUp() ? polledAt : firstLook - spent;
+    }
+
+    /** While it waited for the network: when that had something, nobody knows. */
+    private boolean wasHeldUp() {
+        return firstLook - polledAt > pollWait + LONGEST_WAKE_UP;
     }
 
     void turn() {
-        long began = now();
-        long next = Math.min(deadlines.next() - began, LONGEST_TURN);
-        // A wait of nought would be one without end: what is due already must not wait for the network.
-        if (next > 0) {
-            loop.run(TimeUnit.MICROSECONDS.toNanos(next));
-        } else {
-            loop.runNow();
+        polledAt = now();
+        long wait = spent > SHORT_TURN ? 0 : Math.min(deadlines.next() - polledAt, LONGEST_WAIT);
+        pollWait = Math.max(0, wait);
+        int handled = poll();
+        long told = told(handled);
+        sweep();
+        previousPoll = told;
+        spent = now() - told;
+        logLong();
+    }
+
+    private int poll() {
+        firstLook = NEVER;
+        polling = true;
+        try {
+            // A wait of nought would be one without end: what is due already must not wait for the network.
+            return pollWait > 0 ? loop.run(TimeUnit.MICROSECONDS.toNanos(pollWait)) : loop.runNow();
+        } finally {
+            polling = false;
         }
-        long read = woke == NEVER ? now() : woke;
+    }
+
+    /** When the poll told what had come, at the earliest. One that was interrupted tells nothing, though something came. */
+    private long told(int handled) {
+        if (handled == 0) {
+            firstLook = now();
+        }
+        return pollWait == 0 || firstLook == NEVER || wasHeldUp() ? polledAt : firstLook;
+    }
+
+    private void sweep() {
         try {
             deadlines.sweep(now());
         } catch (RuntimeException e) {
@@ -73,15 +117,12 @@
             counters.add("faults");
             LOG.log(Level.SEVERE, "a deadline's action failed", e);
         }
-        spent = now() - read;
-        woke = NEVER;
-        logLong(Math.max(spent, now() - began - Math.max(0, next)));
     }
 
-    private void logLong(long took) {
-        if (took >= LONG_TURN) {
+    private void logLong() {
+        if (spent >= LONG_TURN) {
             counters.add("turns.long");
-            LOG.log(Level.INFO, "a turn of the event loop took {0} ms besides its wait", took / 1_000);
+            LOG.log(Level.INFO, "a turn of the event loop took {0} ms", spent / 1_000);
         }
     }
 
