Keep the age of the listener's backlog over an accept that failed behind one that did not

Cause: netty tells a failed accept behind the end of the read, and BacklogAge had by then taken a read that accepted something for one that emptied the backlog. Change: it keeps the age of the read before.

--- a/coordinator/src/main/java/burlford/net/BacklogAge.java
+++ b/coordinator/src/main/java/burlford/net/BacklogAge.java
@@ -23,6 +23,8 @@
     private int accepted;
     /** Since when the backlog may not have been empty; NONE: the last accepts emptied it. */
     private long filledSince = NONE;
+    /** The same as of the read before; a failed accept is told only behind the end of its read. */
+    private long filledBefore = NONE;
 
     /** unreadSince: since when what is read now may have waited. */
     public BacklogAge(LongSupplier unreadSince) {
@@ -42,6 +44,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        filledBefore = filledSince;
         filledSince = accepted < MOST_ACCEPTED ? NONE : waitingSince();
         accepted = 0;
         ctx.fireChannelReadComplete();
@@ -49,7 +52,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        filledSince = waitingSince();
+        filledSince = Math.min(filledBefore, waitingSince());
         ctx.fireExceptionCaught(cause);
     }
 }
--- a/coordinator/src/test/java/burlford/net/BacklogAgeTest.java
+++ b/coordinator/src/test/java/burlford/net/BacklogAgeTest.java
@@ -38,13 +38,27 @@
         assertThat(accept(1)).isEqualTo(300);
     }
 
-    /** Guards against the same where an accept failed, as without free descriptors. */
+    /** Guards against the same where an accept failed, as without free descriptors, also behind one that did not. */
     @Test
     void whatAFailedAcceptLeavesCountsFromThen() {
-        listener.pipeline().fireExceptionCaught(new IOException("Too many open files"));
+        failAccept();
         unreadSince = 200;
-        listener.pipeline().fireExceptionCaught(new IOException("Too many open files"));
+        failAccept();
         assertThat(accept(1)).isEqualTo(100);
-        assertThat(accept(1)).isEqualTo(200);
+        fail();
+        unreadSince = 300;
+        assertThat(accept(1)).isEqualTo(100);
+        unreadSince = 400;
+        assertThat(accept(1)).isEqualTo(400);
+    }
+
+    /** As netty tells it: a read ends, and then that its last accept failed. */
+    private void failAccept() {
+        listener.pipeline().fireChannelReadComplete();
+        fail();
+    }
+
+    private void fail() {
+        listener.pipeline().fireExceptionCaught(new IOException("Too many open files"));
     }
 }
