Do not leave parts behind unwritten bytes in the socket of a reader that does not read

Cause: frames were queued in the process behind a full socket, from where nothing is taken back. Change: a part is written only when all before it is in the socket, after the same look as all others; a frame that is not written to its last byte is taken back by closing its connection, as the protocol counts that as never sent. Two tests of ReaderSocketsTest failed before (run without the change: the last of six parts of 6 MB arrived) and pass.

--- a/coordinator/src/main/java/burlford/servers/ReaderConnection.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderConnection.java
@@ -7,7 +7,9 @@
 import burlford.policy.Aggregator.Outcome;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderException;
@@ -70,6 +72,7 @@
     private int asked;
     private boolean doubtful;
     private Deadlines.Deadline idleUntil;
+    private Deadlines.Deadline writeNext;
 
     /** A probe on this connection: answers come in the order of the questions. */
     record Probe(long sentAt, Deadlines.Deadline[] by, boolean[] over) { }
@@ -108,7 +111,7 @@
         if (!closed) {
             up = true;
             probes.forEach(p -> write(Frame.of('U', "")));
-            pool.deadlines().at(pool.now(), this::writeWaiting);
+            writeWaitingSoon();
             rest();
         }
     }
@@ -116,7 +119,8 @@
     /** At the end of a turn, when all that came in it is read: a client that left or a reader that drains goes first. */
     private void writeWaiting() {
         for (Carried c : List.copyOf(calls.values())) {
-            if (!closed && !c.begun && calls.get(c.call.partId) == c && pool.listener().clearToSend(c.call)) {
+            boolean mayWrite = !closed && isFlushed() && !c.begun && calls.get(c.call.partId) == c;
+            if (mayWrite && pool.listener().clearToSend(c.call)) {
                 write(c);
             }
         }
@@ -168,11 +172,17 @@
             heardAt = pool.now();
         }
         calls.put(call.partId, c);
-        if (up) {
+        if (up && isFlushed()) {
             write(c);
         }
     }
 
+    /** All that was written is in the socket. What waits behind unwritten bytes could not be taken back. */
+    private boolean isFlushed() {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer != null && buffer.totalPendingWriteBytes() == 0;
+    }
+
     private void write(Carried c) {
         // d is worked out when the frame is written: a connection may have taken its time to open.
         long wait = Math.max(1, (c.call.deadline - pool.now()) / 1000);
@@ -183,17 +193,30 @@
         System.arraycopy(c.call.text, 0, rest, line.length, c.call.text.length);
         listen();
         c.begun = true;
-        channel.writeAndFlush(new Frame('D', rest).encode()).addListener(f -> c.written = f.isSuccess());
+        write(new Frame('D', rest)).addListener(f -> c.written = f.isSuccess());
+    }
+
+    private ChannelFuture write(Frame frame) {
+        ChannelFuture written = channel.writeAndFlush(frame.encode());
+        if (!written.isDone()) {
+            written.addListener(f -> writeWaitingSoon());
+        }
+        return written;
     }
 
-    private void write(Frame frame) {
-        channel.writeAndFlush(frame.encode());
+    private void writeWaitingSoon() {
+        if (!closed) {
+            pool.deadlines().cancel(writeNext);
+            writeNext = pool.deadlines().at(pool.now(), this::writeWaiting);
+        }
     }
 
     /** The reader is told at once, so that no further attempt of the part can overtake the word. */
     void giveUp(Call call) {
         Carried c = calls.remove(call.partId);
-        if (c.begun && !closed) {
+        if (c.begun && !c.written) {
+            closeOverUnfinishedFrame();
+        } else if (c.begun && !closed) {
             write(Frame.of('K', call.partId));
             givenUp.add(call.partId);
             if (givenUp.size() > MOST_GIVEN_UP) {
@@ -203,16 +226,35 @@
         rest();
     }
 
-    /** Takes a call back that waits for the connection to come up; false where its frame may be on its way. */
+    /** Takes a call back whose frame has not been written to its last byte; false where it has. */
     boolean withdraw(Call call) {
-        if (calls.get(call.partId).begun) {
+        Carried c = calls.get(call.partId);
+        if (c.written) {
             return false;
         }
         calls.remove(call.partId);
+        if (c.begun) {
+            closeOverUnfinishedFrame();
+        }
         rest();
         return true;
     }
 
+    /**
+     * The socket is full, and the rest of a frame in front of it would go out whenever the reader reads again. The reader
+     * may have the other calls, and is as silent to them.
+     */
+    private void closeOverUnfinishedFrame() {
+        if (closed) {
+            return;
+        }
+        pool.counters().add("readers.connections.full");
+        List<Carried> out = new ArrayList<>(calls.values());
+        calls.clear();
+        close();
+        out.forEach(c -> pool.listener().ended(c.call, c.written ? Outcome.TIMEOUT : Outcome.NO_CONNECTION, null, NO_LOAD));
+    }
+
     void probe() {
         stir();
         Probe p = new Probe(pool.now(), new Deadlines.Deadline[1], new boolean[1]);
@@ -450,6 +492,7 @@
         pool.deadlines().cancel(connectBy);
         pool.deadlines().cancel(restBy);
         pool.deadlines().cancel(quiet);
+        pool.deadlines().cancel(writeNext);
         pool.forget(reader, this);
         tell();
         List<Carried> lost = new ArrayList<>(calls.values());
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -39,6 +39,10 @@
     private static final long DEADLINE_US = 4_000_000;
     private static final long SHORT_DEADLINE_US = 300_000;
     private static final int TURNS_TO_CONNECT = 100;
+    /** More bytes than the buffers of a connection take. */
+    private static final int LONG_QUERIES = 6;
+    private static final int LONG_TEXT_BYTES = 6_000_000;
+    private static final int READ_MS = 2_000;
 
     private final HeldReader.Audit audit = new HeldReader.Audit();
     private final List<HeldReader> readers = new ArrayList<>();
@@ -47,6 +51,7 @@
     private final AtomicInteger failures = new AtomicInteger();
     private final List<String> ends = new ArrayList<>();
     private final List<Thread> threads = new ArrayList<>();
+    private String text = "e";
     /** Clients are found to be there when they are looked at. */
     private boolean waits = true;
     private Turns turns;
@@ -98,7 +103,7 @@
     }
 
     private long askFor(String id, long deadline) {
-        Query query = new Query(id, 1, 0, 7, false, turns.now() + deadline, "e".getBytes(StandardCharsets.UTF_8),
+        Query query = new Query(id, 1, 0, 7, false, turns.now() + deadline, text.getBytes(StandardCharsets.UTF_8),
                 List.of(new Dispatcher.Part(0, 1, 0, 7)));
         return coordinator.take(query, new Client() {
             @Override
@@ -311,6 +316,50 @@
         assertThat(audit.attempts.keySet()).containsExactly("after.0");
     }
 
+    /** Queries with long texts, of which the last is not written: the reader does not read. */
+    private List<Long> fillTheSocketOf(UnreadReader reader) throws Exception {
+        start(0, s -> {
+            ((ObjectNode) s.get("allowed")).put("maxOpen", 4 * LONG_QUERIES).put("multiplex", LONG_QUERIES);
+            ((ObjectNode) s.get("rules")).put("cold", 1); // else it would be in slow start
+        });
+        held.letThrough();
+        coordinator.listed(ListKind.WHOLE, List.of(reader.entry(Status.READY)));
+        ask("short");
+        text = "e".repeat(LONG_TEXT_BYTES);
+        List<Long> numbers = new ArrayList<>();
+        for (int i = 0; i < LONG_QUERIES; i++) {
+            numbers.add(ask("q" + i));
+        }
+        for (int i = 0; i < TURNS_TO_CONNECT; i++) {
+            turn();
+            Thread.sleep(1);
+        }
+        return numbers;
+    }
+
+    /** Guards against parts that waited in a full socket and were sent when their reader read again. */
+    @Test
+    void partsOfClientsThatLeftAreNotSentFromAFullSocket() throws Exception {
+        try (UnreadReader reader = new UnreadReader()) {
+            fillTheSocketOf(reader).forEach(coordinator::left);
+            turn();
+            reader.readFor(READ_MS, this::turn);
+            assertThat(reader.parts()).contains("short.0").doesNotContain("q" + (LONG_QUERIES - 1) + ".0");
+        }
+    }
+
+    /** Guards against the same where the reader drains meanwhile. */
+    @Test
+    void partsAreNotSentFromAFullSocketToAReaderThatDrains() throws Exception {
+        try (UnreadReader reader = new UnreadReader()) {
+            fillTheSocketOf(reader);
+            coordinator.listed(ListKind.CHANGES, List.of(reader.entry(Status.DRAINING)));
+            turn();
+            reader.readFor(READ_MS, this::turn);
+            assertThat(reader.parts()).contains("short.0").doesNotContain("q" + (LONG_QUERIES - 1) + ".0");
+        }
+    }
+
     private void awaitTime(long time) throws InterruptedException {
         while (turns.now() < time) {
             Thread.sleep(1);
