Look again at the window in which a part may be repeated right before it is sent

Cause: the module checks the window when it decides, with 25 ms to spare, and nothing looked again. Change: SendCheck asks the module at the time of sending.

--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -567,14 +567,18 @@
      */
     public boolean clearToSend(Call call) {
         Open o = queries.get(call.send.query());
-        ReaderEntry reader = list.get(call.send.reader());
-        SendCheck.Facts facts = new SendCheck.Facts(!call.ended && o != null && !o.ended, call.deadline,
-                reader == null ? Status.GONE : reader.status(), o != null && o.client.stillWaits());
-        Optional<SendCheck.Fault> fault = SendCheck.fault(now(), facts);
+        Optional<SendCheck.Fault> fault = call.ended || o == null || o.ended ? Optional.of(SendCheck.Fault.QUERY_OVER)
+                : SendCheck.fault(now(), facts(call, o));
         fault.ifPresent(f -> withhold(call, f));
         return fault.isEmpty();
     }
 
+    private SendCheck.Facts facts(Call call, Open o) {
+        ReaderEntry reader = list.get(call.send.reader());
+        return new SendCheck.Facts(call.deadline, reader == null ? Status.GONE : reader.status(),
+                o.dispatcher.mayBegin(now(), call.send), o.client.stillWaits());
+    }
+
     private void withhold(Call call, SendCheck.Fault fault) {
         counters.add("attempts.withheld." + fault.name().toLowerCase());
         events.log("part", call.partId, "attempt", call.send.attempt(), "not sent to", call.send.reader(), "any more:",
--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -539,10 +539,20 @@
 
     /** Its attempts so far leave another: not all used, and what may have run may run again. */
     private boolean repeatable(Part p) {
+        return p.attempts.size() < set.allowed().attempts() && mayRunAgain(p, p.attempts, now);
+    }
+
+    /** None of these attempts may have run, or its class allows a further one at that time. */
+    private boolean mayRunAgain(Part p, List<Attempt> before, long at) {
         QueryClass c = set.classes().get(p.query.cls);
-        return p.attempts.size() < set.allowed().attempts() && p.attempts.stream().noneMatch(a -> a.mayHaveRun
-                && (c.effect() == Effect.UNSAFE || c.effect() == Effect.KEYED
-                && now - p.attempts.get(0).sentAt >= c.repeatWindow() - TICK));
+        return before.stream().noneMatch(a -> a.mayHaveRun && (c.effect() == Effect.UNSAFE
+                || c.effect() == Effect.KEYED && at - p.attempts.get(0).sentAt >= c.repeatWindow() - TICK));
+    }
+
+    /** Whether an attempt that was decided before may still begin: a part may be repeated for a while only. */
+    boolean mayBegin(long part, int attempt, long at) {
+        Part p = parts.get(part);
+        return p != null && mayRunAgain(p, p.attempts.subList(0, Math.min(attempt, p.attempts.size())), at);
     }
 
     private double budgetLeft() {
--- a/coordinator/src/main/java/burlford/policy/Dispatcher.java
+++ b/coordinator/src/main/java/burlford/policy/Dispatcher.java
@@ -74,6 +74,11 @@
         return round(now, events);
     }
 
+    /** Whether an attempt that was decided before may still begin now, as far as its part may be repeated. */
+    public boolean mayBegin(long now, Send attempt) {
+        return module.mayBegin(id(attempt.query(), attempt.part()), attempt.attempt(), now);
+    }
+
     /** An attempt ended. over: its part needs no more. load: the reader's report, or empty. */
     public Decisions report(long now, Send attempt, Aggregator.Outcome outcome, long elapsed, boolean over,
             double[] load) {
--- a/coordinator/src/main/java/burlford/policy/SendCheck.java
+++ b/coordinator/src/main/java/burlford/policy/SendCheck.java
@@ -13,31 +13,31 @@
     private static final long LEAST_TIME_LEFT_US = 1_000;
 
     /** Why an attempt does not begin any more. */
-    public enum Fault { QUERY_OVER, TIME_OVER, READER_NOT_READY, CLIENT_LEFT }
+    public enum Fault { QUERY_OVER, TIME_OVER, READER_NOT_READY, REPEATED_TOO_LATE, CLIENT_LEFT }
 
     /**
      * What is known of an attempt as it is about to begin.
      *
-     * @param queryOpen its query has no final answer yet
      * @param deadline when the coordinator stops waiting for it, in microseconds
      * @param reader the state of its reader; GONE where it is not listed
+     * @param repeatable it is its part's first attempt, or the part may run once more at this time
      * @param clientWaits its query's client has not closed its connection
      */
-    public record Facts(boolean queryOpen, long deadline, Status reader, boolean clientWaits) { }
+    public record Facts(long deadline, Status reader, boolean repeatable, boolean clientWaits) { }
 
     private SendCheck() { }
 
     /** Why the attempt may not begin now; empty where it may. */
     public static Optional<Fault> fault(long now, Facts facts) {
-        if (!facts.queryOpen()) {
-            return Optional.of(Fault.QUERY_OVER);
-        }
         if (facts.deadline() - now < LEAST_TIME_LEFT_US) {
             return Optional.of(Fault.TIME_OVER);
         }
         if (facts.reader() != Status.READY) {
             return Optional.of(Fault.READER_NOT_READY);
         }
+        if (!facts.repeatable()) {
+            return Optional.of(Fault.REPEATED_TOO_LATE);
+        }
         return facts.clientWaits() ? Optional.empty() : Optional.of(Fault.CLIENT_LEFT);
     }
 }
