Read discovery's answers again before parts are sent in a turn that takes long

Cause: lists are read once a turn, and parts leave at its end. Change: before parts leave, discovery's connection is read again unless it was within 20 ms; a lane takes the orders it has in hand. With the look taken out ReaderSocketsTest.partIsNotSentToAReaderWhoseDrainIsFoundWhenItIsHandedOver fails; with it that and WatchTest.changeIsReadBeforeTheEventLoopTurnsAgain pass.

--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -78,6 +78,7 @@
     private final Map<Long, Open> queries = new LinkedHashMap<>();
     private final Map<String, ReaderEntry> list = new LinkedHashMap<>();
     private Runnable onListed = () -> { };
+    private Runnable readList = () -> { };
     private final ArrayDeque<Decided> decided = new ArrayDeque<>();
     /** Calls decided in this turn. */
     private final ArrayDeque<Call> unsent = new ArrayDeque<>();
@@ -134,6 +135,11 @@
         onListed = action;
     }
 
+    /** What reads changes of the list that have come and that the event loop has not got to; run before calls leave. */
+    public void onSending(Runnable action) {
+        readList = action;
+    }
+
     @Override
     public Site site() {
         return site;
@@ -546,6 +552,7 @@
      * what was decided earlier in the turn.
      */
     private void handOver() {
+        catchUp();
         try {
             for (Call call = unsent.poll(); call != null; call = unsent.poll()) {
                 if (!call.ended && clearToSend(call)) {
@@ -566,8 +573,12 @@
      * @return whether it may leave; where it may not, it has ended
      */
     public boolean clearToSend(Call call) {
+        readList.run();
+        if (call.ended) {
+            return false; // over what was read
+        }
         Open o = queries.get(call.send.query());
-        Optional<SendCheck.Fault> fault = call.ended || o == null || o.ended ? Optional.of(SendCheck.Fault.QUERY_OVER)
+        Optional<SendCheck.Fault> fault = o == null || o.ended ? Optional.of(SendCheck.Fault.QUERY_OVER)
                 : SendCheck.fault(now(), facts(call, o));
         fault.ifPresent(f -> withhold(call, f));
         return fault.isEmpty();
--- a/coordinator/src/main/java/burlford/daemon/Daemon.java
+++ b/coordinator/src/main/java/burlford/daemon/Daemon.java
@@ -97,6 +97,7 @@
             roster.listed(ListKind.WHOLE, inventory.entries());
         } else if (configuration.discovery() != null) {
             watch = new Watch(serving.out(), configuration.discovery(), roster, turns.deadlines);
+            serving.onSending(watch::readNow);
             watch.start(configuration.known());
             awaitList();
         }
--- a/coordinator/src/main/java/burlford/daemon/Lanes.java
+++ b/coordinator/src/main/java/burlford/daemon/Lanes.java
@@ -317,6 +317,10 @@
         client.pipeline().addLast(HttpConnection.handlers(front, turns.clock, shared::handingOver, ownConnections));
     }
 
+    /** The first loop serves no query, and reads the list while a lane's turn takes long. */
+    @Override
+    public void onSending(Runnable action) { }
+
     @Override
     public Bootstrap out() {
         return out;
--- a/coordinator/src/main/java/burlford/daemon/OneLane.java
+++ b/coordinator/src/main/java/burlford/daemon/OneLane.java
@@ -26,6 +26,11 @@
         return lane.coordinator;
     }
 
+    @Override
+    public void onSending(Runnable action) {
+        lane.coordinator.onSending(action);
+    }
+
     @Override
     public Bootstrap out() {
         return lane.out;
--- a/coordinator/src/main/java/burlford/daemon/Serving.java
+++ b/coordinator/src/main/java/burlford/daemon/Serving.java
@@ -12,6 +12,9 @@
     /** Where the list of readers is told. */
     Roster roster();
 
+    /** What reads changes of the list before parts are sent. Run on the first loop; lanes of their own are told by orders. */
+    void onSending(Runnable action);
+
     /** For connections to others, on the process's first loop. */
     Bootstrap out();
 
--- a/coordinator/src/main/java/burlford/discovery/ListCall.java
+++ b/coordinator/src/main/java/burlford/discovery/ListCall.java
@@ -1,6 +1,7 @@
 package burlford.discovery;
 
 import burlford.net.Connector;
+import burlford.net.Reads;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -78,6 +79,13 @@
         }
     }
 
+    /** Reads what has come and the event loop has not got to. */
+    void readNow() {
+        if (channel != null) {
+            Reads.readNow(channel);
+        }
+    }
+
     private void request() {
         DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
         get.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
--- a/coordinator/src/main/java/burlford/discovery/Watch.java
+++ b/coordinator/src/main/java/burlford/discovery/Watch.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -32,6 +33,8 @@
     private static final long CALL_SILENCE_US = 600_000;
     /** A list that comes in pieces is waited for so long. */
     private static final long LONGEST_LIST_US = 3_000_000;
+    /** Far within the grace of a drain, which begins when a change has come, not when it is read. */
+    private static final long READ_AGAIN_US = 20_000;
     /** Past this the oldest call is closed. */
     private static final int MOST_CALLS = 8;
 
@@ -50,6 +53,7 @@
     private Deadlines.Deadline opening;
     private boolean stopped;
     private boolean answered;
+    private long readAt;
 
     public Watch(Bootstrap bootstrap, InetSocketAddress address, Roster roster, Deadlines deadlines) {
         this.bootstrap = bootstrap;
@@ -85,6 +89,14 @@
         return answered && !fetch;
     }
 
+    /** Reads what has come in a turn of the event loop that takes long, unless it was read a moment ago. */
+    public void readNow() {
+        if (roster.now() - readAt >= READ_AGAIN_US) {
+            readAt = roster.now();
+            List.copyOf(calls).forEach(ListCall::readNow);
+        }
+    }
+
     public void stop() {
         stopped = true;
         leave();
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -360,6 +360,24 @@
         }
     }
 
+    /** Guards against a part sent to a reader of whose drain discovery had told while the turn went on. */
+    @Test
+    void partIsNotSentToAReaderWhoseDrainIsFoundWhenItIsHandedOver() throws Exception {
+        start(1, s -> { });
+        held.letThrough();
+        letAnotherThrough();
+        ends.clear();
+        coordinator.onSending(() -> coordinator.listed(ListKind.CHANGES, List.of(entry(0, Status.DRAINING))));
+        ask("q");
+        turn();
+        coordinator.onSending(() -> { });
+        coordinator.listed(ListKind.CHANGES, List.of(entry(0, Status.READY)));
+        until(() -> !ends.isEmpty());
+        assertThat(ends).containsExactly("answered");
+        assertThat(audit.attempts.get("q.0")).isEqualTo(1);
+        assertThat(turns.counters.get("attempts.moot")).isEqualTo(1);
+    }
+
     private void awaitTime(long time) throws InterruptedException {
         while (turns.now() < time) {
             Thread.sleep(1);
--- a/coordinator/src/test/java/burlford/discovery/WatchTest.java
+++ b/coordinator/src/test/java/burlford/discovery/WatchTest.java
@@ -187,4 +187,18 @@
         }
         assertThat(counters.get("discovery.connections")).isEqualTo(1);
     }
+
+    /** Guards against drains that lie unread while a turn of the event loop sends parts to their readers. */
+    @Test
+    void changeIsReadBeforeTheEventLoopTurnsAgain() throws IOException {
+        discovery.send(0, HEAD + chunk("\n"));
+        until(watch::isCurrent);
+        discovery.send(0, chunk(list(42, false, member("s1", "Terminating"))));
+        long limit = System.nanoTime() + REAL_PATIENCE_NS;
+        while (!told.contains("s1 DRAINING")) {
+            assertThat(System.nanoTime()).as("nothing came").isLessThan(limit);
+            now += SECOND;
+            watch.readNow();
+        }
+    }
 }
