Take back parts that wait for a reader that has started anew

Cause: a reader with a new time of start is READY before and after, and only the state was looked at. Change: a call is for the reader as it was when the call was decided; it is taken back when the list tells of a new start, and looked at again before it is written. ReaderSocketsTest.partIsNotSentToAReaderThatRestartedBeforeItsConnectionCameUp failed before and passes.

--- a/coordinator/src/main/java/burlford/core/Call.java
+++ b/coordinator/src/main/java/burlford/core/Call.java
@@ -10,17 +10,21 @@
     public final byte[] text;
     public final long sentAt;
     public final long deadline;
+    /** When the reader had started that it is meant for. */
+    final long readerStartedAt;
     Deadlines.Deadline timeout;
     boolean ended;
     /** The readers' side has it; before that it waits for the end of its turn. */
     boolean handedOver;
 
-    Call(String partId, int shard, Send send, byte[] text, long sentAt, long deadline) {
+    Call(String partId, int shard, Send send, byte[] text, long sentAt, long deadline,
+            long readerStartedAt) {
         this.partId = partId;
         this.shard = shard;
         this.send = send;
         this.text = text;
         this.sentAt = sentAt;
         this.deadline = deadline;
+        this.readerStartedAt = readerStartedAt;
     }
 }
--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -422,13 +422,16 @@
     /** What waits for a connection to a reader that takes nothing new is not sent there when it comes up. */
     private void withdrawFromUnready() {
         for (Open o : List.copyOf(queries.values())) {
-            withdrawUnsent(o, call -> {
-                ReaderEntry reader = list.get(call.send.reader());
-                return reader == null || reader.status() != Status.READY;
-            });
+            withdrawUnsent(o, call -> readerStatus(call) != Status.READY);
         }
     }
 
+    /** That of the reader that a call was meant for; one that has started anew since is another. */
+    private Status readerStatus(Call call) {
+        ReaderEntry reader = list.get(call.send.reader());
+        return reader == null || reader.startedAt() != call.readerStartedAt ? Status.GONE : reader.status();
+    }
+
     /** Ends calls that still wait for a connection; without it a query that has ended would be sent on. */
     private void withdrawUnsent(Open o, Predicate<Call> which) {
         for (Call call : List.copyOf(o.calls.values())) {
@@ -527,7 +530,8 @@
             return;
         }
         long until = s.timeout() > 0 ? Math.min(o.query.deadline(), now + s.timeout()) : o.query.deadline();
-        Call call = new Call(o.query.id() + "." + part.shard(), part.shard(), s, o.query.text(), now, until);
+        Call call = new Call(o.query.id() + "." + part.shard(), part.shard(), s, o.query.text(), now, until,
+                reader.startedAt());
         o.calls.put(key(s.part(), s.attempt()), call);
         call.timeout = deadlines.at(until, () -> {
             readers.giveUp(call);
@@ -585,9 +589,8 @@
     }
 
     private SendCheck.Facts facts(Call call, Open o) {
-        ReaderEntry reader = list.get(call.send.reader());
-        return new SendCheck.Facts(call.deadline, reader == null ? Status.GONE : reader.status(),
-                o.dispatcher.mayBegin(now(), call.send), o.client.stillWaits());
+        return new SendCheck.Facts(call.deadline, readerStatus(call), o.dispatcher.mayBegin(now(), call.send),
+                o.client.stillWaits());
     }
 
     private void withhold(Call call, SendCheck.Fault fault) {
--- a/coordinator/src/main/java/burlford/policy/SendCheck.java
+++ b/coordinator/src/main/java/burlford/policy/SendCheck.java
@@ -19,7 +19,7 @@
      * What is known of an attempt as it is about to begin.
      *
      * @param deadline when the coordinator stops waiting for it, in microseconds
-     * @param reader the state of its reader; GONE where it is not listed
+     * @param reader the state of its reader; GONE where it is not listed, or has started anew since the decision
      * @param repeatable it is its part's first attempt, or the part may run once more at this time
      * @param clientWaits its query's client has not closed its connection
      */
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -378,6 +378,18 @@
         assertThat(turns.counters.get("attempts.moot")).isEqualTo(1);
     }
 
+    /** Guards against a part that goes to a reader in slow start on the turn of the process that ran there before. */
+    @Test
+    void partIsNotSentToAReaderThatRestartedBeforeItsConnectionCameUp() throws Exception {
+        start(1, s -> { });
+        ask("q");
+        until(() -> held.held() == 1);
+        ReaderEntry before = entry(0, Status.READY);
+        coordinator.listed(ListKind.CHANGES, List.of(new ReaderEntry(before.id(), before.host(), before.port(), "", 0,
+                Status.READY, 1, turns.now())));
+        assertThat(turns.counters.get("attempts.moot")).isEqualTo(1);
+    }
+
     private void awaitTime(long time) throws InterruptedException {
         while (turns.now() < time) {
             Thread.sleep(1);
--- a/coordinator/src/test/java/burlford/daemon/StoodStillTest.java
+++ b/coordinator/src/test/java/burlford/daemon/StoodStillTest.java
@@ -60,7 +60,7 @@
     private void ask(Coordinator c, String id) {
         c.take(new Query(id, 1, 1, 0, false, now + 4_000_000, new byte[0], List.of(new Dispatcher.Part(0, 1, 0, 0))),
                 (Client) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Client.class},
-                        (proxy, method, a) -> null));
+                        (proxy, method, a) -> method.getName().equals("stillWaits") ? Boolean.TRUE : null));
         deadlines.sweep(now); // the end of the turn, at which calls go out
     }
 
