Count further attempts and slow-start permits from when they begin

Cause: nothing told the module when an attempt left. Change: Dispatcher.begin is asked as it is about to be written; it refuses one that the budget does not allow any more, and moves what is counted to that time.

--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -589,7 +589,7 @@
     }
 
     private SendCheck.Facts facts(Call call, Open o) {
-        return new SendCheck.Facts(call.deadline, readerStatus(call), o.dispatcher.mayBegin(now(), call.send),
+        return new SendCheck.Facts(call.deadline, readerStatus(call), o.dispatcher.begin(now(), call.send),
                 o.client.stillWaits());
     }
 
--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -549,18 +549,48 @@
                 || c.effect() == Effect.KEYED && at - p.attempts.get(0).sentAt >= c.repeatWindow() - TICK));
     }
 
-    /** Whether an attempt that was decided before may still begin: a part may be repeated for a while only. */
-    boolean mayBegin(long part, int attempt, long at) {
+    /**
+     * An attempt that was decided before is about to begin. Where it may, what the rules count of it counts from now on.
+     *
+     * @return whether it may still begin: a part may be repeated for a while only, and within the budget
+     */
+    boolean begin(long part, int attempt, long at) {
         Part p = parts.get(part);
-        return p != null && mayRunAgain(p, p.attempts.subList(0, Math.min(attempt, p.attempts.size())), at);
+        if (p == null || attempt >= p.attempts.size() || !mayRunAgain(p, p.attempts.subList(0, attempt), at)) {
+            return false;
+        }
+        Attempt a = p.attempts.get(attempt);
+        if (attempt > 0 && set.rules().hasBudget() && !moveInBudget(a.countedAt, at)) {
+            return false;
+        }
+        if (cold(a.server)) {
+            // Its permit is worked off from now on, not from the decision.
+            a.server.coldDebt += Math.min(scale[p.query.cls], (at - a.countedAt) / turn(a.server));
+        }
+        a.countedAt = at;
+        return true;
+    }
+
+    /** A further attempt counts at a later time than when it was decided; false, and not counted, where it may not. */
+    private boolean moveInBudget(long countedAt, long at) {
+        extras.removeLastOccurrence(countedAt);
+        if (budgetLeft(at) < 1) {
+            return false;
+        }
+        extras.add(at);
+        return true;
     }
 
     private double budgetLeft() {
+        return budgetLeft(now);
+    }
+
+    private double budgetLeft(long at) {
         if (!set.rules().hasBudget()) {
             return Double.MAX_VALUE;
         }
         // A further attempt counts to the end of its window, what was taken to just before it. Oldest first.
-        long from = now - set.rules().budgetWindow();
+        long from = at - set.rules().budgetWindow();
         for (; !extras.isEmpty() && extras.peek() < from; extras.remove()) { }
         for (; !taken.isEmpty() && taken.peek() <= from; taken.remove()) { }
         return set.rules().budgetFree() + set.rules().budgetShare() * taken.size() - extras.size();
@@ -603,6 +633,7 @@
         a.index = p.attempts.size();
         a.server = s;
         a.sentAt = now;
+        a.countedAt = now;
         a.weight = 1 + cost(p, s);
         a.loadAtSend = believed(s);
         a.expected = expected(s, p.query.cls);
--- a/coordinator/src/main/java/burlford/policy/Dispatcher.java
+++ b/coordinator/src/main/java/burlford/policy/Dispatcher.java
@@ -74,9 +74,14 @@
         return round(now, events);
     }
 
-    /** Whether an attempt that was decided before may still begin now, as far as its part may be repeated. */
-    public boolean mayBegin(long now, Send attempt) {
-        return module.mayBegin(id(attempt.query(), attempt.part()), attempt.attempt(), now);
+    /**
+     * An attempt that was decided before is about to begin.
+     *
+     * @return whether it may still begin, as far as the module keeps count: the window and budget of repeats
+     */
+    public boolean begin(long now, Send attempt) {
+        latest = Math.max(latest, now);
+        return module.begin(id(attempt.query(), attempt.part()), attempt.attempt(), latest);
     }
 
     /** An attempt ended. over: its part needs no more. load: the reader's report, or empty. */
--- a/coordinator/src/main/java/burlford/policy/State.java
+++ b/coordinator/src/main/java/burlford/policy/State.java
@@ -94,6 +94,8 @@
         int index;
         Server server;
         long sentAt;
+        /** When it counts for the budget of further attempts and for slow start. */
+        long countedAt;
         /** Another instance's: it waits no longer than until then, whether its end is heard of or not. */
         long until;
         double weight;
