Share the budgets of slow start and of further attempts between older and new settings

Cause: inherit copied the counts, though the module that is replaced goes on. Change: both modules hold the same counts.

--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -11,6 +11,7 @@
 import burlford.policy.State.Part;
 import burlford.policy.State.Query;
 import burlford.policy.State.Server;
+import burlford.policy.State.SlowStart;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -115,8 +116,9 @@
     private final Map<Long, Query> byNumber = new LinkedHashMap<>();
     private final Map<Long, Part> parts = new LinkedHashMap<>();
     private final List<List<Server>> holders = new ArrayList<>();
-    private final ArrayDeque<Long> extras = new ArrayDeque<>();
-    private final ArrayDeque<Long> taken = new ArrayDeque<>();
+    private ArrayDeque<Long> extras = new ArrayDeque<>();
+    private ArrayDeque<Long> taken = new ArrayDeque<>();
+    private Map<Long, SlowStart> slowStarts = new LinkedHashMap<>();
     private final Map<List<Long>, Long> gaveUp = new LinkedHashMap<>();
     private final Map<Long, Long> suspects = new LinkedHashMap<>();
     private final List<Query> fresh = new ArrayList<>();
@@ -165,19 +167,19 @@
     }
 
     /**
-     * Takes over what the rules count from the module that this one replaces: turns at servers in slow start,
-     * and further attempts with what they are a share of. Both know the same list.
+     * Shares what the rules count with the module that this one replaces, which goes on with the queries it has: permits
+     * at servers in slow start, and further attempts with what they are a share of. Both know the same list.
      */
     void inherit(Decide before) {
-        extras.addAll(before.extras);
-        taken.addAll(before.taken);
+        extras = before.extras;
+        taken = before.taken;
         starts = before.starts;
+        slowStarts = before.slowStarts;
         for (Server s : servers.values()) {
             Server known = before.servers.get(s.id);
             if (known != null) {
                 s.startedAt = known.startedAt;
-                s.coldDebt = known.coldDebt;
-                s.coldAt = known.coldAt;
+                s.slowStart = known.slowStart;
             }
         }
     }
@@ -264,8 +266,9 @@
                 s.endedSince = 0;
                 s.slowAt = NEVER;
                 s.trust.clear();
-                s.coldDebt = phase;
-                s.coldAt = now;
+                s.slowStart = slowStarts.computeIfAbsent(s.id, id -> new SlowStart());
+                s.slowStart.debt = phase;
+                s.slowStart.at = now;
             }
             s.zone = entry.zone();
             s.cell = entry.cell();
@@ -279,6 +282,7 @@
                     && Math.floorMod(s.cell - first, set.cells()) < set.reach()).toList());
         }
         servers.values().removeIf(s -> !s.listed && s.out.isEmpty() && !s.probing);
+        slowStarts.keySet().retainAll(servers.keySet());
     }
 
     // ---- queries and parts coming in
@@ -565,7 +569,7 @@
         }
         if (cold(a.server)) {
             // Its permit is worked off from now on, not from the decision.
-            a.server.coldDebt += Math.min(scale[p.query.cls], (at - a.countedAt) / turn(a.server));
+            a.server.slowStart.debt += Math.min(scale[p.query.cls], (at - a.countedAt) / turn(a.server));
         }
         a.countedAt = at;
         return true;
@@ -607,7 +611,7 @@
         // What a warm one takes: as reports tell of busy ones, else by how parts' time rises with load.
         double lanes = Math.max(1, Math.min(MOST_LANES, time.base / Math.max(1, 1.5 * time.slope)));
         double full = busyRate > 0 ? busyRate / SECOND : lanes / (time.base + set.callWork());
-        double age = Math.max(0, Math.min(1, ((s.coldAt + now) / 2.0 - s.startedAt) / r.cold()));
+        double age = Math.max(0, Math.min(1, ((s.slowStart.at + now) / 2.0 - s.startedAt) / r.cold()));
         double most = r.tipMultiple() * (r.coldFrom() + (1 - r.coldFrom()) * age) * full * r.fall();
         return r.fall() * set.instances() / meanWithin(most, set.instances(), SPREADS);
     }
@@ -618,7 +622,7 @@
 
     /** How long until our next part may go there: until what we sent it, in parts, is worked off by turns. */
     private double coldWait(Server s) {
-        return cold(s) ? Math.max(0, s.coldDebt * turn(s) - (now - s.coldAt)) : 0;
+        return cold(s) ? Math.max(0, s.slowStart.debt * turn(s) - (now - s.slowStart.at)) : 0;
     }
 
     private void send(Part p) {
@@ -642,8 +646,8 @@
         }
         connect(a);
         if (cold(s)) {
-            s.coldDebt = coldWait(s) / turn(s) + scale[p.query.cls];
-            s.coldAt = now;
+            s.slowStart.debt = coldWait(s) / turn(s) + scale[p.query.cls];
+            s.slowStart.at = now;
         }
         p.attempts.add(a);
         p.out++;
--- a/coordinator/src/main/java/burlford/policy/Dispatcher.java
+++ b/coordinator/src/main/java/burlford/policy/Dispatcher.java
@@ -54,8 +54,8 @@
     }
 
     /**
-     * Takes over what the rules count from the dispatcher that this one replaces, once the list has been told here:
-     * budgets of readers in slow start and of further attempts, which new settings do not renew.
+     * Shares what the rules count with the dispatcher that this one replaces, once the list has been told here: budgets
+     * of readers in slow start and of further attempts, which new settings neither renew nor double.
      */
     public void inherit(Dispatcher before) {
         module.inherit(before.module);
--- a/coordinator/src/main/java/burlford/policy/State.java
+++ b/coordinator/src/main/java/burlford/policy/State.java
@@ -42,9 +42,15 @@
         long usedAt = Decide.NEVER;
         /** The idle class of what was last given up there without an answer: its connection is as suspect. */
         int staleClass = -1;
-        /** Parts sent to it while cold and not yet worked off by our share of what it may be sent; as of coldAt. */
-        double coldDebt;
-        long coldAt;
+        SlowStart slowStart = new SlowStart();
+    }
+
+    /** What was sent to a server while cold; modules of older and newer settings share it. */
+    static final class SlowStart {
+        /** Parts not yet worked off by our share of what it may be sent. */
+        double debt;
+        /** As of when. */
+        long at;
     }
 
     static final class Query {
--- a/coordinator/src/test/java/burlford/policy/ReconfigurationTest.java
+++ b/coordinator/src/test/java/burlford/policy/ReconfigurationTest.java
@@ -96,4 +96,34 @@
         }
         return attempts - 1;
     }
+
+    /** Guards against a retry budget that queries of the older and of the new settings each spend in full. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void retryBudgetIsOneForOlderAndNewSettings(long seed) {
+        fixture.budgetFree = 1;
+        Dispatcher before = dispatcher(seed);
+        list(before, Fixture.START, 0);
+        Dispatcher after = dispatcher(seed);
+        list(after, Fixture.START, 0);
+        after.inherit(before);
+        assertThat(furtherAttempts(before)).isEqualTo(1);
+        assertThat(furtherAttempts(after)).isZero();
+    }
+
+    /** Guards against a rate in slow start that queries of the older and of the new settings each use in full. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void slowStartBudgetIsOneForOlderAndNewSettings(long seed) {
+        fixture.coldSpan = SECOND;
+        fixture.aim = SECOND;
+        long start = Fixture.START;
+        Dispatcher before = dispatcher(seed);
+        list(before, start, start - SECOND);
+        Dispatcher after = dispatcher(seed + 100);
+        list(after, start, start - SECOND);
+        after.inherit(before);
+        long first = sentAt(before, start);
+        assertThat(sentAt(after, first)).isGreaterThan(first);
+    }
 }
