Reckon a shutdown from the signal, not from when the event loop gets to it

Cause: the schedule began at the turn in which the loop took the signal's task. Change: the signal's handler reads the clock. ShutdownScheduleTest.shutdownCountsFromTheSignalThoughTheLoopGetsToItLate is new with the parameter and passes, with LanesTest.

--- a/coordinator/src/main/java/burlford/daemon/Daemon.java
+++ b/coordinator/src/main/java/burlford/daemon/Daemon.java
@@ -69,7 +69,11 @@
     private void run() throws IOException, Inventory.Bad {
         // Before anyone can know that we are there: a signal sent as soon as we listen must not kill us.
         for (String name : new String[] {"TERM", "INT"}) {
-            Signal.handle(new Signal(name), s -> turns.loop.execute(this::drain));
+            Signal.handle(new Signal(name), s -> {
+                // The kill counts from now, not from when the loop gets to it.
+                long toldAt = shared.now();
+                turns.loop.execute(() -> drain(toldAt));
+            });
         }
         Signal.handle(new Signal("HUP"), s -> reload());
         Configuration configuration = shared.configuration();
@@ -188,10 +192,10 @@
         }
     }
 
-    private void drain() {
+    private void drain(long toldAt) {
         if (!shared.draining()) {
             LOG.info("shutting down: serving until all is answered");
-            shared.drain();
+            shared.drain(toldAt);
             serving.drain();
         }
     }
--- a/coordinator/src/main/java/burlford/daemon/Shared.java
+++ b/coordinator/src/main/java/burlford/daemon/Shared.java
@@ -76,8 +76,9 @@
 
     // ---- stopping
 
-    void drain() {
-        stop = ShutdownSchedule.of(now(), inForce.site().longestDeadline());
+    /** toldAt: when the process was told to stop. */
+    void drain(long toldAt) {
+        stop = ShutdownSchedule.of(toldAt, inForce.site().longestDeadline());
     }
 
     boolean draining() {
--- a/coordinator/src/test/java/burlford/daemon/LanesTest.java
+++ b/coordinator/src/test/java/burlford/daemon/LanesTest.java
@@ -418,7 +418,7 @@
         CountDownLatch wake = pause(0);
         both[0].ask("asleep", "ok");
         onControl(() -> {
-            shared.drain();
+            shared.drain(shared.now());
             lanes.drain();
             return null;
         });
@@ -460,7 +460,7 @@
         both[1].ask("q1", "hold");
         held(4);
         onControl(() -> {
-            shared.drain();
+            shared.drain(shared.now());
             lanes.drain();
             return null;
         });
--- a/coordinator/src/test/java/burlford/daemon/ShutdownScheduleTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ShutdownScheduleTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -26,4 +27,15 @@
         assertThat(schedule.leaveAt()).isBetween(NOW + NEW_CONNECTIONS, schedule.stopAt());
         assertThat(schedule.handOverAt()).isBetween(NOW, schedule.stopAt());
     }
+
+    /** Guards against answers behind the kill, where the event loop is busy when the signal comes. */
+    @Test
+    void shutdownCountsFromTheSignalThoughTheLoopGetsToItLate() throws Exception {
+        Shared shared = new Shared(LanesTest.configuration(20), null);
+        long toldAt = shared.now() - 800_000;
+        shared.drain(toldAt);
+        ShutdownSchedule expected = ShutdownSchedule.of(toldAt, shared.setup().site().longestDeadline());
+        assertThat(shared.endBy()).isEqualTo(expected.endBy());
+        assertThat(shared.stopAt()).isEqualTo(expected.stopAt());
+    }
 }
