Read what came while the process stood still before anything counts as due

Cause: a pause interrupts the wait for the network; the JDK then reports nothing, and the deadlines were swept at once. PausedProcessTest.requestWhoseRestCameWhileTheProcessStoodStillIsAnswered failed before and passes.

--- a/coordinator/src/main/java/burlford/daemon/Turns.java
+++ b/coordinator/src/main/java/burlford/daemon/Turns.java
@@ -84,6 +84,12 @@
         pollWait = Math.max(0, wait);
         int handled = poll();
         long told = told(handled);
+        if (handled == 0 && pollWait > 0 && told == polledAt) {
+            // Interrupted, as by a pause of the process: nothing is due before what came meanwhile is read.
+            previousPoll = told;
+            pollWait = 0;
+            poll();
+        }
         sweep();
         previousPoll = told;
         spent = now() - told;
--- a/coordinator/src/test/java/burlford/play/PausedProcessTest.java
+++ b/coordinator/src/test/java/burlford/play/PausedProcessTest.java
@@ -24,6 +24,9 @@
     private static final int PAUSE_MS = 400;
     private static final int PAUSE_BEHIND_END_MS = 250;
     private static final int LONG_PAUSE_MS = 900;
+    /** More than a request may take to come in. */
+    private static final int SLOW_REQUEST_MS = 2_500;
+    private static final int READ_MS = 100;
     private static final int DEADLINE_SLACK_MS = 150;
     /** For the threads of this test. */
     private static final int TOLERANCE_MS = 100;
@@ -136,4 +139,19 @@
     void readersAreToldNoMoreTimeThanIsLeftOfRequestsOnNewConnections() throws Exception {
         assertReadersAreToldNoMoreTimeThanIsLeft();
     }
+
+    /** Guards against requests told that they came too slowly, whose rest had come while the process stood still. */
+    @Test
+    void requestWhoseRestCameWhileTheProcessStoodStillIsAnswered() throws Exception {
+        connectAndAsk();
+        byte[] request = SoakClient.request("q", LONG_DEADLINE_MS, Audit.Effect.RETRYABLE);
+        Socket client = clients.get(0);
+        client.getOutputStream().write(request, 0, request.length / 2);
+        Thread.sleep(READ_MS);
+        program.signal("STOP");
+        client.getOutputStream().write(request, request.length / 2, request.length - request.length / 2);
+        Thread.sleep(SLOW_REQUEST_MS);
+        program.signal("CONT");
+        assertThat(SoakClient.read(client).text()).doesNotContain("408");
+    }
 }
--- a/coordinator/src/test/java/burlford/play/SoakClient.java
+++ b/coordinator/src/test/java/burlford/play/SoakClient.java
@@ -92,10 +92,15 @@
 
     /** Sends a request for two parts. */
     static void write(Socket socket, String id, int deadlineMs, Audit.Effect effect) throws IOException {
+        socket.getOutputStream().write(request(id, deadlineMs, effect));
+    }
+
+    /** A request for two parts. */
+    static byte[] request(String id, int deadlineMs, Audit.Effect effect) {
         String body = "{\"parts\":[{\"id\":0},{\"id\":1}],\"expr\":\"e\"}";
-        socket.getOutputStream().write(("POST /api/" + id + " HTTP/1.1\r\nReq-Id: " + id + "\r\nReq-Kind: "
+        return ("POST /api/" + id + " HTTP/1.1\r\nReq-Id: " + id + "\r\nReq-Kind: "
                 + CLASSES.get(effect) + "\r\nReq-Owner: duna-cab\r\nReq-Deadline-Ms: " + deadlineMs
-                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII);
     }
 
     /** Reads one reply, within the socket's time-out. */
