Read what has come before a client's connection counts as slow, idle or waiting

Cause: these deadlines judge on what was read, not on what has come. Change: the connection is read once more first.

--- a/coordinator/src/main/java/burlford/clients/Connections.java
+++ b/coordinator/src/main/java/burlford/clients/Connections.java
@@ -73,13 +73,20 @@
 
     /** Closes the one that waits longest without a request, if one may go. */
     public void makeRoom() {
-        HttpConnection goes = first(silent, 0);
-        goes = goes == null ? first(resting, RESTED) : goes;
-        if (goes != null) {
-            goes.close(CloseReason.MAKE_ROOM);
+        for (HttpConnection goes = nextToGo(); goes != null; goes = nextToGo()) {
+            if (goes.isStillWaiting()) {
+                goes.close(CloseReason.MAKE_ROOM);
+                return;
+            }
+            busy(goes);
         }
     }
 
+    private HttpConnection nextToGo() {
+        HttpConnection silentLongest = first(silent, 0);
+        return silentLongest == null ? first(resting, RESTED) : silentLongest;
+    }
+
     /** Since when the one that would go to make room has waited; Long.MAX_VALUE where none may go. */
     public long longestWaiting() {
         if (!silent.isEmpty()) {
@@ -143,6 +150,11 @@
         return resting.containsKey(c);
     }
 
+    /** It has no request in work, nor has one begun. */
+    boolean isWaiting(HttpConnection c) {
+        return resting.containsKey(c) || silent.containsKey(c);
+    }
+
     /** It had its last reply and is to go. */
     void leaving(HttpConnection c) {
         silent.put(c, now());
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -101,6 +101,7 @@
     /** Replies on their way into the socket. */
     private int unwritten;
     private int thrownAway;
+    private long requests;
     /** When all that had come was read. */
     private long readAt;
     private long acceptedAt;
@@ -208,6 +209,12 @@
         return first ? Math.min(unreadSince, waitingSince) : unreadSince;
     }
 
+    /** Between requests or before the first, also by what has come and was not read. */
+    boolean isStillWaiting() {
+        Reads.readNow(ctx.channel());
+        return connections.isWaiting(this) && ctx.channel().isActive();
+    }
+
     private void gone() {
         connections.closed(this);
         connections.deadlines().cancel(by);
@@ -267,6 +274,11 @@
 
     /** Guards against heads and bodies that come slowly or never end. */
     private void tooSlow() {
+        long requestsBefore = requests;
+        Reads.readNow(ctx.channel());
+        if (requests > requestsBefore || !ctx.channel().isActive()) {
+            return; // it had come
+        }
         if (!begun) {
             close(CloseReason.NO_REQUEST);
             return;
@@ -283,6 +295,7 @@
         if (ending || flooded) {
             return;
         }
+        requests++;
         begun = false;
         clean = !decoder.holdsBytes();
         connections.deadlines().cancel(by);
@@ -392,7 +405,11 @@
     private void awaitNext() {
         if (clean) {
             connections.resting(this);
-            due(REST_TIME, () -> close(CloseReason.IDLE));
+            due(REST_TIME, () -> {
+                if (isStillWaiting()) {
+                    close(CloseReason.IDLE);
+                }
+            });
         } else {
             begun = true;
             due(REQUEST_TIME, this::tooSlow);
--- a/coordinator/src/test/java/burlford/clients/ClientEndTest.java
+++ b/coordinator/src/test/java/burlford/clients/ClientEndTest.java
@@ -25,9 +25,19 @@
     private static final byte[] REQUEST = "POST /api/a HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"
             .getBytes(StandardCharsets.US_ASCII);
     private static final long PATIENCE_NS = 20_000_000_000L;
+    private static final int READ_MS = 50;
+    /** As long as a request may take to come in, and a connection may rest. */
+    private static final long SLOW_REQUEST_US = 2_000_000;
+    private static final long IDLE_US = 5_000_000;
 
     private final ManualIoEventLoop loop = new ManualIoEventLoop(Thread.currentThread(), NioIoHandler.newFactory());
+    private final Deadlines deadlines = new Deadlines();
+    private final Connections connections = new Connections(100, Crowd.alone(1 << 20), new Counters(), deadlines,
+            this::now);
+    /** Microseconds that the clock is ahead of the system's. */
+    private long skew;
     private Exchange taken;
+    private HttpResponseStatus rejected;
     private boolean left;
 
     private final HttpConnection.Front front = new HttpConnection.Front() {
@@ -38,20 +48,20 @@
         }
 
         @Override
-        public void reject(Exchange e, HttpResponseStatus status, String fault) { }
+        public void reject(Exchange e, HttpResponseStatus status, String fault) {
+            rejected = status;
+        }
 
         @Override
         public void crowded(Exchange e, String why) { }
     };
 
     private Socket connect() throws Exception {
-        Connections connections = new Connections(100, Crowd.alone(1 << 20), new Counters(), new Deadlines(),
-                ClientEndTest::now);
         Channel listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel c) {
-                        c.pipeline().addLast(HttpConnection.handlers(front, ClientEndTest::now, () -> false,
+                        c.pipeline().addLast(HttpConnection.handlers(front, ClientEndTest.this::now, () -> false,
                                 connections));
                     }
                 }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).channel();
@@ -61,8 +71,8 @@
         return new Socket(InetAddress.getLoopbackAddress(), ((InetSocketAddress) listener.localAddress()).getPort());
     }
 
-    private static long now() {
-        return System.nanoTime() / 1000;
+    private long now() {
+        return System.nanoTime() / 1000 + skew;
     }
 
     private void turnUntilTaken() {
@@ -100,4 +110,55 @@
             assertThat(left).isTrue();
         }
     }
+
+    /** Guards against a request told that it came too slowly, whose rest had come while the event loop was busy. */
+    @Test
+    void requestThatHasComeIsReadBeforeItIsTooSlow() throws Exception {
+        try (Socket client = connect()) {
+            client.getOutputStream().write(REQUEST, 0, REQUEST.length / 2);
+            turnFor(READ_MS);
+            client.getOutputStream().write(REQUEST, REQUEST.length / 2, REQUEST.length - REQUEST.length / 2);
+            Thread.sleep(READ_MS);
+            skew += SLOW_REQUEST_US;
+            deadlines.sweep(now());
+            assertThat(rejected).isNull();
+            assertThat(taken).isNotNull();
+        }
+    }
+
+    /** Guards against a resting connection that is closed over a request that has come. */
+    @Test
+    void requestThatHasComeIsReadBeforeItsConnectionIsIdle() throws Exception {
+        try (Socket client = connect()) {
+            client.getOutputStream().write(REQUEST);
+            turnUntilTaken();
+            taken.reply(HttpResponseStatus.OK, "text/plain", "", java.util.Map.of());
+            taken = null;
+            client.getOutputStream().write(REQUEST);
+            Thread.sleep(READ_MS);
+            skew += IDLE_US;
+            deadlines.sweep(now());
+            assertThat(taken).isNotNull();
+            assertThat(taken.clientIsConnected()).isTrue();
+        }
+    }
+
+    /** Guards against a connection that is closed to make room over a request that has come. */
+    @Test
+    void requestThatHasComeIsReadBeforeItsConnectionMakesRoom() throws Exception {
+        try (Socket client = connect()) {
+            turnFor(READ_MS);
+            client.getOutputStream().write(REQUEST);
+            Thread.sleep(READ_MS);
+            connections.makeRoom();
+            assertThat(taken).isNotNull();
+            assertThat(taken.clientIsConnected()).isTrue();
+        }
+    }
+
+    private void turnFor(long millis) {
+        for (long end = System.nanoTime() + millis * 1_000_000; System.nanoTime() < end;) {
+            loop.run(TimeUnit.MILLISECONDS.toNanos(1));
+        }
+    }
 }
