Read what has come before a reader counts as silent

Cause: silence was judged on what was read. Change: the connection is read once more first; probes too. ReaderSocketsTest.answerThatHasComeIsReadBeforeItsReaderIsSilent failed before (one question asked) and passes.

--- a/coordinator/src/main/java/burlford/servers/ReaderConnection.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderConnection.java
@@ -4,6 +4,7 @@
 import burlford.core.Deadlines;
 import burlford.core.ReaderEntry;
 import burlford.net.Connector;
+import burlford.net.Reads;
 import burlford.policy.Aggregator.Outcome;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -258,7 +259,10 @@
     void probe() {
         stir();
         Probe p = new Probe(pool.now(), new Deadlines.Deadline[1], new boolean[1]);
-        p.by[0] = pool.deadlines().at(pool.now() + pool.site().connectTimeout(), () -> ended(p, Outcome.TIMEOUT, NO_LOAD));
+        p.by[0] = pool.deadlines().at(pool.now() + pool.site().connectTimeout(), () -> {
+            readWhatHasCome();
+            ended(p, Outcome.TIMEOUT, NO_LOAD);
+        });
         probes.add(p);
         if (up) {
             write(Frame.of('U', ""));
@@ -287,7 +291,8 @@
             long patience = Math.max(pool.site().connectTimeout(), pool.site().longestDeadline() / 8);
             quiet = pool.deadlines().at(Math.max(heardAt + patience, pool.now() + 1), () -> {
                 quiet = null;
-                if (!calls.isEmpty() && pool.now() - heardAt >= patience) {
+                readWhatHasCome();
+                if (!closed && !calls.isEmpty() && pool.now() - heardAt >= patience) {
                     asked++;
                     pool.counters().add("readers.connections.asked");
                     write(Frame.of('I', ""));
@@ -300,10 +305,15 @@
     }
 
     private void doubt(long patience) {
+        readWhatHasCome();
+        if (closed) {
+            return;
+        }
         doubtful = asked > 0;
         quiet = pool.deadlines().at(pool.now() + patience, () -> {
             quiet = null;
-            if (asked > 0) {
+            readWhatHasCome();
+            if (!closed && asked > 0) {
                 pool.counters().add("readers.connections.silent");
                 List<Carried> out = new ArrayList<>(calls.values());
                 calls.clear();
@@ -315,6 +325,13 @@
         });
     }
 
+    /** Before it is judged to be silent: in a turn of the event loop that takes long, answers lie unread. */
+    private void readWhatHasCome() {
+        if (up && !closed) {
+            Reads.readNow(channel);
+        }
+    }
+
     private void stir() {
         pool.deadlines().cancel(idleUntil);
         idleUntil = null;
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -38,6 +38,8 @@
     private static final long REAL_PATIENCE_NS = 20_000_000_000L;
     private static final long DEADLINE_US = 4_000_000;
     private static final long SHORT_DEADLINE_US = 300_000;
+    /** After so long without a word a reader is asked whether it is alive. */
+    private static final long SILENCE_US = 260_000;
     private static final int TURNS_TO_CONNECT = 100;
     /** More bytes than the buffers of a connection take. */
     private static final int LONG_QUERIES = 6;
@@ -390,6 +392,27 @@
         assertThat(turns.counters.get("attempts.moot")).isEqualTo(1);
     }
 
+    /** Guards against answers that had come and were taken for a silence of their reader in a long turn. */
+    @Test
+    void answerThatHasComeIsReadBeforeItsReaderIsSilent() throws Exception {
+        start(1, s -> {
+            ((ObjectNode) s.get("allowed")).put("connectTimeout", 250_000);
+            s.get("classes").forEach(c -> ((ObjectNode) c).put("deadline", 800_000));
+        });
+        held.letThrough();
+        letAnotherThrough();
+        ends.clear();
+        text = "hold";
+        ask("q");
+        until(() -> readers.get(0).held() == 1);
+        awaitTime(turns.now() + SILENCE_US);
+        readers.get(0).release();
+        Thread.sleep(TURNS_TO_CONNECT);
+        turns.deadlines.sweep(turns.now());
+        assertThat(turns.counters.get("readers.connections.asked")).isZero();
+        assertThat(ends).containsExactly("answered");
+    }
+
     private void awaitTime(long time) throws InterruptedException {
         while (turns.now() < time) {
             Thread.sleep(1);
