Give an attempt up by closing its connection where the cancel could not leave

Cause: giveUp queued the frame whatever the socket's state. Change: the connection is closed instead, as the protocol allows. ReaderSocketsTest.attemptIsGivenUpByClosingWhereItsCancelWouldWait failed before and passes.

--- a/coordinator/src/main/java/burlford/servers/ReaderConnection.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderConnection.java
@@ -215,8 +215,8 @@
     /** The reader is told at once, so that no further attempt of the part can overtake the word. */
     void giveUp(Call call) {
         Carried c = calls.remove(call.partId);
-        if (c.begun && !c.written) {
-            closeOverUnfinishedFrame();
+        if (c.begun && !closed && !(c.written && isFlushed())) {
+            closeOverUnfinishedFrame(); // a cancel would wait there too
         } else if (c.begun && !closed) {
             write(Frame.of('K', call.partId));
             givenUp.add(call.partId);
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -326,9 +326,8 @@
         });
         held.letThrough();
         coordinator.listed(ListKind.WHOLE, List.of(reader.entry(Status.READY)));
-        ask("short");
+        List<Long> numbers = new ArrayList<>(List.of(ask("short")));
         text = "e".repeat(LONG_TEXT_BYTES);
-        List<Long> numbers = new ArrayList<>();
         for (int i = 0; i < LONG_QUERIES; i++) {
             numbers.add(ask("q" + i));
         }
@@ -350,6 +349,16 @@
         }
     }
 
+    /** Guards against a second attempt out where the word that gives the first one up waits behind a full socket. */
+    @Test
+    void attemptIsGivenUpByClosingWhereItsCancelWouldWait() throws Exception {
+        try (UnreadReader reader = new UnreadReader()) {
+            long written = fillTheSocketOf(reader).get(0);
+            coordinator.left(written);
+            assertThat(turns.counters.get("readers.connections.full")).isEqualTo(1);
+        }
+    }
+
     /** Guards against the same where the reader drains meanwhile. */
     @Test
     void partsAreNotSentFromAFullSocketToAReaderThatDrains() throws Exception {
