Join the reproductions in one seeded soak under faults with an audit of all rules

Need: faults come together, and each incident's reproduction stood alone. Change: ShutdownSoakTest becomes FaultSoakTest; a FaultPlan draws pauses of the process, a hanging, a draining and a restarting reader, a crowd, budgets, probes and the series of signals, each with any other; Audit adds the budget of further attempts and slow start to lost, duplicate, drain, deadlines and values. All checks of the soak before it are kept.

--- a/coordinator/src/test/java/burlford/play/Audit.java
+++ b/coordinator/src/test/java/burlford/play/Audit.java
@@ -55,20 +55,41 @@
     private static final long LATE_ATTEMPT_MS = 100;
     private static final long DEADLINE_SLACK_MS = 150;
     private static final long LATE_ANSWER_MS = 500;
+    static final int BUDGET_WINDOW_MS = 1_000;
+    private static final int ENTRIES_OF_A_REQUEST = 3;
+    /** The figures of slow start of the test's configuration; a stand-in reader takes 30 ms a part, two at a time. */
+    private static final double COLD_MULTIPLE = 2.5;
+    private static final double COLD_SHARE = 0.27;
+    private static final double READER_PARTS_PER_S = 2 / 0.03;
+    private static final long FALL_NS = 1_000 * MS;
 
     private final Map<String, Request> requests = new ConcurrentHashMap<>();
     private final List<Ending> endings = new CopyOnWriteArrayList<>();
     private final Map<String, List<Attempt>> attempts = new ConcurrentHashMap<>();
     /** By reader: since when it takes nothing new, as discovery has written to the coordinator. */
     private final Map<String, Long> drainingSince = new ConcurrentHashMap<>();
+    /** By reader: when it started anew, as discovery has written to the coordinator. */
+    private final Map<String, Long> startedAt = new ConcurrentHashMap<>();
     private final long dedupWindowMs;
     private final long drainGraceMs;
+    private int mostExtras = Integer.MAX_VALUE;
+    private double extraShare;
 
     Audit(long dedupWindowMs, long drainGraceMs) {
         this.dedupWindowMs = dedupWindowMs;
         this.drainGraceMs = drainGraceMs;
     }
 
+    /** Further attempts within any window: so many, and so many for each request of that window. */
+    void limitExtras(int most, double share) {
+        mostExtras = most;
+        extraShare = share;
+    }
+
+    void notifiedOfStart(String reader) {
+        startedAt.putIfAbsent(reader, System.nanoTime());
+    }
+
     void sent(Request request) {
         requests.put(request.id(), request);
     }
@@ -112,6 +133,8 @@
             all.forEach(a -> checkAttempt(a, broken));
             checkRepeats(all, broken);
         });
+        checkExtras(broken);
+        startedAt.forEach((reader, at) -> checkSlowStart(reader, at, broken));
         return broken;
     }
 
@@ -150,6 +173,37 @@
         }
     }
 
+    /** Windows differ between here and there by what a part is on its way. */
+    private void checkExtras(List<String> broken) {
+        List<Long> extras = attempts.values().stream().flatMap(all -> all.stream().skip(1)).map(a -> a.arrivedAt)
+                .sorted().toList();
+        for (long at : extras) {
+            long count = extras.stream().filter(e -> e <= at && (at - e) / MS < BUDGET_WINDOW_MS - TOLERANCE_MS).count();
+            long taken = requests.values().stream().map(Request::sentAt)
+                    .filter(r -> r <= at && (at - r) / MS < BUDGET_WINDOW_MS + TOLERANCE_MS).count();
+            // The wire counts a query and each of its parts.
+            if (count > mostExtras + extraShare * taken * ENTRIES_OF_A_REQUEST) {
+                broken.add("budget: " + count + " further attempts for " + taken + " requests in the window");
+                return;
+            }
+        }
+    }
+
+    private void checkSlowStart(String reader, long startedAt, List<String> broken) {
+        double allowed = COLD_MULTIPLE * COLD_SHARE * READER_PARTS_PER_S;
+        double most = allowed + 2 * Math.sqrt(allowed) + 2;
+        List<Long> arrivals = attempts.values().stream().flatMap(List::stream)
+                .filter(a -> a.reader.equals(reader) && (a.arrivedAt - startedAt) / MS > TOLERANCE_MS)
+                .map(a -> a.arrivedAt).sorted().toList();
+        for (long at : arrivals) {
+            long count = arrivals.stream().filter(a -> a >= at && a - at < FALL_NS).count();
+            if (count > most) {
+                broken.add("slow start: " + count + " parts within 1 s at " + reader + ", at most " + (int) most);
+                return;
+            }
+        }
+    }
+
     private void checkRepeats(List<Attempt> all, List<String> broken) {
         for (int i = 1; i < all.size(); i++) {
             Attempt next = all.get(i);
--- a/coordinator/src/test/java/burlford/play/DescriptorShortageTest.java
+++ b/coordinator/src/test/java/burlford/play/DescriptorShortageTest.java
@@ -28,7 +28,7 @@
                 new SoakReader("s1", 2, timer, audit), new SoakReader("s2", 3, timer, audit));
         List<Socket> idle = new ArrayList<>();
         try (Program program = Program.serveWithin(DESCRIPTORS,
-                ShutdownSoakTest.configuration(readers, DEADLINE_MS, false))) {
+                FaultSoakTest.configuration(readers, DEADLINE_MS, false))) {
             int port = program.port("platform");
             loadClasses(port);
             for (int i = 0; i < IDLE_CLIENTS; i++) {
--- /dev/null
+++ b/coordinator/src/test/java/burlford/play/FaultPlan.java
@@ -0,0 +1,74 @@
+package burlford.play;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * The faults of one run, drawn by its seed; each may come with any other.
+ *
+ * @param pauses how often the process stands still
+ * @param pauseMs for how long each time
+ * @param hang a reader answers nothing from some time on
+ * @param drain another one drains
+ * @param restart a third one starts anew
+ * @param budget further attempts are limited
+ * @param signals what the process is told, in this order, at the end
+ */
+record FaultPlan(int seed, int deadlineMs, boolean crowd, int pauses, int pauseMs, boolean hang, boolean drain,
+        boolean restart, boolean budget, boolean probing, List<String> signals) {
+
+    private static final int[] DEADLINES_MS = {250, 300, 600, 1500};
+    private static final List<List<String>> SIGNALS = List.of(List.of("TERM"), List.of("HUP", "TERM"),
+            List.of("TERM", "HUP"), List.of("TERM", "TERM"), List.of("HUP", "HUP", "TERM", "HUP"));
+    private static final int MOST_PAUSES = 3;
+    private static final int SHORTEST_PAUSE_MS = 50;
+    private static final int LONGEST_PAUSE_MS = 700;
+    private static final int STEP_MS = 150;
+
+    static FaultPlan draw(int seed) {
+        SplittableRandom random = new SplittableRandom(seed * 7919L);
+        return new FaultPlan(seed, DEADLINES_MS[random.nextInt(DEADLINES_MS.length)], random.nextInt(4) == 0,
+                random.nextInt(MOST_PAUSES + 1), random.nextInt(SHORTEST_PAUSE_MS, LONGEST_PAUSE_MS),
+                random.nextBoolean(), random.nextBoolean(), random.nextBoolean(), random.nextBoolean(),
+                random.nextBoolean(), SIGNALS.get(random.nextInt(SIGNALS.size())));
+    }
+
+    /** One without faults but those that readers and clients draw themselves. */
+    static FaultPlan quiet(int deadlineMs, boolean crowd) {
+        return new FaultPlan(0, deadlineMs, crowd, 0, 0, false, false, false, false, false, List.of("TERM"));
+    }
+
+    /** Plays all but the signals, one fault after the other in an order of the seed's. */
+    void play(Program program, List<SoakReader> readers, SoakDiscovery discovery) throws Exception {
+        List<Fault> faults = new ArrayList<>();
+        for (int i = 0; i < pauses; i++) {
+            faults.add(() -> pause(program));
+        }
+        if (hang) {
+            faults.add(() -> readers.get(0).hang());
+        }
+        if (drain) {
+            faults.add(() -> discovery.drain(1));
+        }
+        if (restart) {
+            faults.add(() -> discovery.restart(2));
+        }
+        SplittableRandom random = new SplittableRandom(seed);
+        while (!faults.isEmpty()) {
+            Thread.sleep(random.nextInt(STEP_MS));
+            faults.remove(random.nextInt(faults.size())).play();
+        }
+        Thread.sleep(STEP_MS);
+    }
+
+    private void pause(Program program) throws Exception {
+        program.signal("STOP");
+        Thread.sleep(pauseMs);
+        program.signal("CONT");
+    }
+
+    private interface Fault {
+        void play() throws Exception;
+    }
+}
--- a/coordinator/src/test/java/burlford/play/ShutdownSoakTest.java
+++ b/coordinator/src/test/java/burlford/play/FaultSoakTest.java
@@ -18,67 +18,70 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * The program is told to stop, by signals in series, while clients go on sending on their connections and readers fail,
- * break or hang; it is killed at the earliest that the platform may. {@code -Dsoak.seeds=50 -Dsoak.first=1} for more.
+ * A real process under faults that are drawn together by a seed, audited for all rules: it stands still for a while,
+ * readers fail, break, hang, drain and start anew, clients leave, it is told to reload and to stop by signals in series
+ * while clients go on sending, and killed at the earliest that the platform may. {@code -Dsoak.seeds=50 -Dsoak.first=1}
+ * for more.
  */
-class ShutdownSoakTest {
+class FaultSoakTest {
 
-    private static final int SEEDS = Integer.getInteger("soak.seeds", 6);
+    private static final int SEEDS = Integer.getInteger("soak.seeds", 12);
     private static final int FIRST = Integer.getInteger("soak.first", 1);
     private static final int CLIENTS = 12;
-    private static final int READERS = 3;
+    static final int READERS = 3;
     private static final int IDLE_CLIENTS = 80;
     private static final int FEW_DESCRIPTORS = 96;
-    private static final int[] DEADLINES_MS = {300, 600, 1500};
-    private static final List<List<String>> SIGNALS = List.of(List.of("TERM"), List.of("HUP", "TERM"),
-            List.of("TERM", "HUP"), List.of("TERM", "TERM"), List.of("HUP", "HUP", "TERM", "HUP"));
-    private static final int QUIET_MS = 700;
     private static final int KILL_BEHIND_DEADLINE_MS = 700;
+    private static final int DRAIN_GRACE_MS = 300;
+    private static final int MOST_EXTRA = 3;
+    private static final double EXTRA_SHARE = 0.1;
 
-    /** Guards against requests that a stopping process read and never answered, or sent on after their end. */
+    /** Guards against rules broken under faults that come together; each line names the rule and the request. */
     @Test
-    void everyRequestThatWasForwardedIsAnsweredThroughAShutdown() throws Exception {
+    void noRuleIsBrokenUnderFaults() throws Exception {
+        List<String> broken = new ArrayList<>();
         for (int seed = FIRST; seed < FIRST + SEEDS; seed++) {
-            List<String> broken = run(seed);
-            assertThat(broken).as("seed " + seed).isEmpty();
+            FaultPlan plan = FaultPlan.draw(seed);
+            run(plan, new SplittableRandom(seed)).forEach(line -> broken.add(plan + ": " + line));
         }
+        assertThat(broken).isEmpty();
     }
 
-    private static List<String> run(int seed) throws Exception {
-        SplittableRandom random = new SplittableRandom(seed);
-        int deadlineMs = DEADLINES_MS[seed % DEADLINES_MS.length];
-        boolean crowd = seed % 4 == 0;
-        Audit audit = new Audit(deadlineMs, deadlineMs);
+    private static List<String> run(FaultPlan plan, SplittableRandom random) throws Exception {
+        Audit audit = new Audit(plan.deadlineMs(), DRAIN_GRACE_MS);
+        if (plan.budget()) {
+            audit.limitExtras(MOST_EXTRA, EXTRA_SHARE);
+        }
         ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
         List<SoakReader> readers = new ArrayList<>();
         for (int i = 0; i < READERS; i++) {
             readers.add(new SoakReader("s" + i, random.nextLong(), timer, audit));
         }
         List<Socket> idle = new ArrayList<>();
-        try (Program program = Program.serve(configuration(readers, deadlineMs, crowd), null)) {
+        SoakDiscovery discovery = new SoakDiscovery(readers, audit);
+        try (Program program = Program.serve(configuration(readers, discovery, plan), null)) {
             int port = program.port("platform");
-            for (int i = 0; crowd && i < IDLE_CLIENTS; i++) {
+            for (int i = 0; plan.crowd() && i < IDLE_CLIENTS; i++) {
                 idle.add(new Socket(InetAddress.getLoopbackAddress(), port));
             }
             List<SoakClient> clients = new ArrayList<>();
             List<Thread> threads = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
-                SoakClient client = new SoakClient(port, "c" + i, deadlineMs, random.nextLong(), audit);
+                SoakClient client = new SoakClient(port, "c" + i, plan.deadlineMs(), random.nextLong(), audit);
+                client.leaveAtDeadline(plan.pauses() > 0);
                 clients.add(client);
                 threads.add(new Thread(client));
             }
             threads.forEach(Thread::start);
-            Thread.sleep(QUIET_MS);
-            if (random.nextBoolean()) {
-                readers.get(0).hang();
-            }
-            signalAndKill(program, SIGNALS.get(seed % SIGNALS.size()), deadlineMs);
+            plan.play(program, readers, discovery);
+            signalAndKill(program, plan);
             clients.forEach(SoakClient::stop);
             for (Thread t : threads) {
                 t.join();
             }
         } finally {
             timer.shutdownNow();
+            discovery.close();
             for (SoakReader r : readers) {
                 r.close();
             }
@@ -86,27 +89,32 @@
                 s.close();
             }
         }
-        assertThat(audit.endings()).as("seed " + seed).anyMatch(o -> o.end() == SoakClient.End.ANSWERED);
+        assertThat(audit.endings()).as(plan.toString()).anyMatch(e -> e.end() == SoakClient.End.ANSWERED);
         return audit.violations();
     }
 
-    private static void signalAndKill(Program program, List<String> signals, int deadlineMs) throws Exception {
+    private static void signalAndKill(Program program, FaultPlan plan) throws Exception {
         long told = 0;
-        for (String signal : signals) {
+        for (String signal : plan.signals()) {
             program.signal(signal);
             told = told == 0 && signal.equals("TERM") ? System.nanoTime() : told;
         }
-        long kill = told + TimeUnit.MILLISECONDS.toNanos(deadlineMs + KILL_BEHIND_DEADLINE_MS);
+        long kill = told + TimeUnit.MILLISECONDS.toNanos(plan.deadlineMs() + KILL_BEHIND_DEADLINE_MS);
         while (program.isAlive() && System.nanoTime() < kill) {
             Thread.sleep(1);
         }
         program.close();
     }
 
-    static ObjectNode configuration(List<SoakReader> readers, int deadlineMs, boolean crowd)
+    /** One with these faultless or faulty readers and no discovery. */
+    static ObjectNode configuration(List<SoakReader> readers, int deadlineMs, boolean crowd) throws IOException {
+        return configuration(readers, null, FaultPlan.quiet(deadlineMs, crowd));
+    }
+
+    private static ObjectNode configuration(List<SoakReader> readers, SoakDiscovery discovery, FaultPlan plan)
             throws IOException {
         ObjectNode configuration;
-        try (InputStream in = ShutdownSoakTest.class.getResourceAsStream("/configuration.json")) {
+        try (InputStream in = FaultSoakTest.class.getResourceAsStream("/configuration.json")) {
             configuration = (ObjectNode) new ObjectMapper().readTree(in);
         }
         ArrayNode members = ((ObjectNode) configuration.get("known")).putArray("members");
@@ -114,14 +122,21 @@
             members.addObject().put("id", "s" + i).put("host_port", "127.0.0.1:" + readers.get(i).port())
                     .put("cell", i).put("phase", "Ready").put("up_since_ms", 0);
         }
-        configuration.put("discovery", "127.0.0.1:9"); // nobody is there: the list stays as known
+        // Without discovery nobody is there: the list stays as known.
+        configuration.put("discovery", "127.0.0.1:" + (discovery == null ? 9 : discovery.port()));
         ((ObjectNode) configuration.at("/settings/familyInfo")).put("reach", READERS);
-        ((ObjectNode) configuration.at("/settings/allowed")).put("connectTimeout", 250_000).put("maxOpen", 400);
-        configuration.at("/settings/classes").forEach(c -> ((ObjectNode) c).put("deadline", deadlineMs * 1000)
-                .put("target", deadlineMs * 700));
+        ((ObjectNode) configuration.at("/settings/allowed")).put("connectTimeout", 250_000).put("maxOpen", 400)
+                .put("probing", plan.probing());
+        configuration.at("/settings/classes").forEach(c -> ((ObjectNode) c).put("deadline", plan.deadlineMs() * 1000)
+                .put("target", plan.deadlineMs() * 700));
         ((ObjectNode) configuration.at("/settings/classes/0")).put("effect", "dedup")
-                .put("memorySpan", deadlineMs * 1000);
-        if (crowd) {
+                .put("memorySpan", plan.deadlineMs() * 1000);
+        ObjectNode rules = (ObjectNode) configuration.at("/settings/rules");
+        rules.put("stopSendingWithin", DRAIN_GRACE_MS * 1000);
+        if (plan.budget()) {
+            rules.put("minExtra", MOST_EXTRA).put("resendRatio", EXTRA_SHARE).put("lookBack", Audit.BUDGET_WINDOW_MS * 1000);
+        }
+        if (plan.crowd()) {
             ((ObjectNode) configuration.get("limits")).put("sockets", FEW_DESCRIPTORS);
         }
         return configuration;
--- a/coordinator/src/test/java/burlford/play/PausedProcessTest.java
+++ b/coordinator/src/test/java/burlford/play/PausedProcessTest.java
@@ -43,7 +43,7 @@
         for (int i = 0; i < 3; i++) {
             readers.add(SoakReader.faultless("s" + i, timer, audit));
         }
-        ObjectNode configuration = ShutdownSoakTest.configuration(readers, LONG_DEADLINE_MS, false);
+        ObjectNode configuration = FaultSoakTest.configuration(readers, LONG_DEADLINE_MS, false);
         program = Program.serve(configuration, null);
         port = program.port("platform");
     }
--- a/coordinator/src/test/java/burlford/play/SoakClient.java
+++ b/coordinator/src/test/java/burlford/play/SoakClient.java
@@ -31,6 +31,7 @@
     private final SplittableRandom random;
     private final Audit audit;
     private volatile boolean over;
+    private boolean leavesAtDeadline;
 
     SoakClient(int port, String name, int deadlineMs, long seed, Audit audit) {
         this.port = port;
@@ -40,6 +41,11 @@
         this.audit = audit;
     }
 
+    /** Whether it closes its connection when its time is up, as clients of the platform do. */
+    void leaveAtDeadline(boolean leaves) {
+        leavesAtDeadline = leaves;
+    }
+
     void stop() {
         over = true;
     }
@@ -74,8 +80,9 @@
         Audit.Effect effect = Audit.Effect.values()[random.nextInt(Audit.Effect.values().length)];
         Audit.Request request = new Audit.Request(id, effect, System.nanoTime(), deadlineMs);
         audit.sent(request);
-        boolean leaves = random.nextDouble() < LEAVES;
-        socket.setSoTimeout(leaves ? 1 + random.nextInt(deadlineMs) : deadlineMs + GRACE_MS);
+        boolean leavesEarly = random.nextDouble() < LEAVES;
+        boolean leaves = leavesEarly || leavesAtDeadline;
+        socket.setSoTimeout(leavesEarly ? 1 + random.nextInt(deadlineMs) : deadlineMs + (leaves ? 0 : GRACE_MS));
         Reply reply;
         try {
             write(socket, id, deadlineMs, effect);
