Take the time that the event loop stood still off what readers seemed to take

Cause: lanes take off the time for which they stood still, a single loop told 0. Change: it tells by how much what it reads may be older than it looks, from 0.1 s on.

--- a/coordinator/src/main/java/burlford/core/Alone.java
+++ b/coordinator/src/main/java/burlford/core/Alone.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 /** The commons of a coordinator that is the only one of its process. */
 public final class Alone implements Commons {
@@ -14,6 +15,12 @@
     private final Set<String> ids = new HashSet<>();
     private int open;
     private long lastNumber;
+    private final LongSupplier stoodStill;
+
+    /** stoodStill: by how many microseconds what is read now may be older than it looks. */
+    public Alone(LongSupplier stoodStill) {
+        this.stoodStill = stoodStill;
+    }
 
     @Override
     public void catchUp() { }
@@ -68,6 +75,6 @@
 
     @Override
     public long stoodStill() {
-        return 0;
+        return stoodStill.getAsLong();
     }
 }
--- a/coordinator/src/main/java/burlford/daemon/OneLane.java
+++ b/coordinator/src/main/java/burlford/daemon/OneLane.java
@@ -17,7 +17,7 @@
 
     OneLane(Turns turns, Shared shared) {
         Shared.Setup setup = shared.setup();
-        lane = new Lane(0, turns, shared, Lane.dispatcher(setup, 0, 1), new Alone(), Census.alone(),
+        lane = new Lane(0, turns, shared, Lane.dispatcher(setup, 0, 1), new Alone(turns::stoodStill), Census.alone(),
                 Crowd.alone(Lane.mostHeld()), turns.counters::text);
     }
 
--- a/coordinator/src/main/java/burlford/daemon/Turns.java
+++ b/coordinator/src/main/java/burlford/daemon/Turns.java
@@ -78,6 +78,15 @@
         return firstLook - polledAt > pollWait + LONGEST_WAKE_UP;
     }
 
+    /**
+     * By how much what is read now may be older than it looks, where the loop was busy or the process held up for long; 0
+     * where it was not. That time is no reader's.
+     */
+    long stoodStill() {
+        long age = now() - unreadSince();
+        return age >= LONG_TURN ? age : 0;
+    }
+
     void turn() {
         polledAt = now();
         long wait = spent > SHORT_TURN ? 0 : Math.min(deadlines.next() - polledAt, LONGEST_WAIT);
--- a/coordinator/src/test/java/burlford/daemon/TurnsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/TurnsTest.java
@@ -55,6 +55,24 @@
         turns.loop.shutdownGracefully();
     }
 
+    /** Guards against answers that lay unread through a long turn and were taken for slow ones of their readers. */
+    @Test
+    void whatIsReadBehindALongTurnStoodStillForThatTurn() throws Exception {
+        Turns turns = new Turns(Thread.currentThread(), () -> now);
+        long[] stood = new long[3];
+        turns.loop.execute(() -> {
+            stood[0] = turns.stoodStill();
+            now += BUSY;
+        });
+        turns.turn();
+        turns.loop.execute(() -> stood[1] = turns.stoodStill());
+        turns.turn();
+        turns.loop.execute(() -> stood[2] = turns.stoodStill());
+        turns.turn();
+        assertThat(stood).containsExactly(0, BUSY, 0);
+        turns.loop.shutdownGracefully();
+    }
+
     /** Guards against a start that was given up over one socket() that failed for a moment. */
     @Test
     void listenerIsBoundThoughTheFirstSocketsFail() throws Exception {
--- a/coordinator/src/test/java/burlford/play/SoakReader.java
+++ b/coordinator/src/test/java/burlford/play/SoakReader.java
@@ -63,6 +63,11 @@
         hung = true;
     }
 
+    /** It answers what comes from now on. */
+    void resume() {
+        hung = false;
+    }
+
     private static void daemon(Runnable body) {
         Thread t = new Thread(body);
         t.setDaemon(true);
