Look at a part for the last time when its frame is made, right before the write

Change: the frame is made first, then the call is looked at, then written; made again if that took a millisecond.

--- a/coordinator/src/main/java/burlford/servers/ReaderConnection.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderConnection.java
@@ -7,6 +7,7 @@
 import burlford.net.Reads;
 import burlford.policy.Aggregator.Outcome;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -34,6 +35,7 @@
 
     private static final Logger LOG = Logger.getLogger(ReaderConnection.class.getName());
     private static final double[] NO_LOAD = {};
+    private static final long US_PER_MS = 1_000;
     /** The rest of a frame comes within this, or never. */
     private static final long REST_OF_FRAME = 250_000;
     /** So many ids given up are remembered: not all of them are answered. */
@@ -120,8 +122,7 @@
     /** At the end of a turn, when all that came in it is read: a client that left or a reader that drains goes first. */
     private void writeWaiting() {
         for (Carried c : List.copyOf(calls.values())) {
-            boolean mayWrite = !closed && isFlushed() && !c.begun && calls.get(c.call.partId) == c;
-            if (mayWrite && pool.listener().clearToSend(c.call)) {
+            if (!closed && isFlushed() && !c.begun && calls.get(c.call.partId) == c) {
                 write(c);
             }
         }
@@ -184,21 +185,39 @@
         return buffer != null && buffer.totalPendingWriteBytes() == 0;
     }
 
+    /** Looks at the call once more when all else is done: what may pass between that look and the write is short. */
     private void write(Carried c) {
-        // d is worked out when the frame is written: a connection may have taken its time to open.
-        long wait = Math.max(1, (c.call.deadline - pool.now()) / 1000);
-        byte[] line = (c.call.partId + " " + c.call.shard + " d=" + wait + " " + c.call.text.length + "\n")
-                .getBytes(StandardCharsets.UTF_8);
-        byte[] rest = new byte[line.length + c.call.text.length];
-        System.arraycopy(line, 0, rest, 0, line.length);
-        System.arraycopy(c.call.text, 0, rest, line.length, c.call.text.length);
+        long encodedAt = pool.now();
+        ByteBuf frame = encode(c.call, encodedAt);
+        if (!pool.listener().clearToSend(c.call)) {
+            frame.release();
+            return;
+        }
         listen();
         c.begun = true;
-        write(new Frame('D', rest)).addListener(f -> c.written = f.isSuccess());
+        if (pool.now() - encodedAt >= US_PER_MS) {
+            frame.release();
+            frame = encode(c.call, pool.now());
+        }
+        write(frame).addListener(f -> c.written = f.isSuccess());
+    }
+
+    private static ByteBuf encode(Call call, long now) {
+        long wait = Math.max(1, (call.deadline - now) / US_PER_MS);
+        byte[] line = (call.partId + " " + call.shard + " d=" + wait + " " + call.text.length + "\n")
+                .getBytes(StandardCharsets.UTF_8);
+        byte[] rest = new byte[line.length + call.text.length];
+        System.arraycopy(line, 0, rest, 0, line.length);
+        System.arraycopy(call.text, 0, rest, line.length, call.text.length);
+        return new Frame('D', rest).encode();
+    }
+
+    private void write(Frame frame) {
+        write(frame.encode());
     }
 
-    private ChannelFuture write(Frame frame) {
-        ChannelFuture written = channel.writeAndFlush(frame.encode());
+    private ChannelFuture write(ByteBuf frame) {
+        ChannelFuture written = channel.writeAndFlush(frame);
         if (!written.isDone()) {
             written.addListener(f -> writeWaitingSoon());
         }
--- a/coordinator/src/test/java/burlford/play/Audit.java
+++ b/coordinator/src/test/java/burlford/play/Audit.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -49,7 +50,12 @@
         }
     }
 
+    /** A time for which the test had the process stand still. */
+    private record Pause(long from, long to) { }
+
     private static final long MS = 1_000_000;
+    /** Between its clock and its write a coordinator may be held up for this long, and no rule is broken by that. */
+    private static final long HELD_UP_MS = 150;
     private static final long TOLERANCE_MS = 250;
     /** An attempt may begin this long after its client has left. */
     private static final long LATE_ATTEMPT_MS = 100;
@@ -70,6 +76,9 @@
     private final Map<String, Long> drainingSince = new ConcurrentHashMap<>();
     /** By reader: when it started anew, as discovery has written to the coordinator. */
     private final Map<String, Long> startedAt = new ConcurrentHashMap<>();
+    private final List<Pause> pauses = new CopyOnWriteArrayList<>();
+    /** Pauses that have explained a late frame already. */
+    private final Set<Pause> heldUp = ConcurrentHashMap.newKeySet();
     private final long dedupWindowMs;
     private final long drainGraceMs;
     private int mostExtras = Integer.MAX_VALUE;
@@ -86,6 +95,10 @@
         extraShare = share;
     }
 
+    void paused(long from, long to) {
+        pauses.add(new Pause(from, to));
+    }
+
     void notifiedOfStart(String reader) {
         startedAt.putIfAbsent(reader, System.nanoTime());
     }
@@ -156,9 +169,20 @@
             broken.add("duplicate: refused what may have run: " + e);
         }
         forwarded.stream().filter(a -> (a.arrivedAt - e.at()) / MS > LATE_ATTEMPT_MS + TOLERANCE_MS)
+                .filter(a -> !tookThePauseOf(a, e.request()))
                 .forEach(a -> broken.add("lost: sent after its end: " + a + ", " + e));
     }
 
+    /**
+     * Whether a pause longer than the rules reckon with came between the last look and the write. The time that the frame
+     * tells shows when it was made: before the pause. One thread writes, so a pause can hold up one frame only.
+     */
+    private boolean tookThePauseOf(Attempt a, Request request) {
+        long madeAt = request.sentAt() + (request.deadlineMs() - a.timeLeftMs) * MS;
+        return pauses.stream().anyMatch(p -> (p.to() - p.from()) / MS > HELD_UP_MS && madeAt <= p.from()
+                && a.arrivedAt >= p.to() && (a.arrivedAt - p.to()) / MS <= TOLERANCE_MS && heldUp.add(p));
+    }
+
     private void checkAttempt(Attempt a, List<String> broken) {
         Request request = requests.get(a.query());
         if (request != null) {
