Reckon the 5 ms for the way when the audit dates a frame

Trace of one, with the whole log: a request's frame told 135 ms of 300, so it was made 160 ms after the request (the coordinator leaves 5 ms for the way), the pause began at 160 ms and ended at 788, and the frame came at 791: between the last look and the write again. The audit dated the frame 5 ms too late, and so behind the pause's beginning. No check is wider than before: one frame for each pause, dated by its own time.

--- a/coordinator/src/test/java/burlford/play/Audit.java
+++ b/coordinator/src/test/java/burlford/play/Audit.java
@@ -56,6 +56,8 @@
     private static final long MS = 1_000_000;
     /** Between its clock and its write a coordinator may be held up for this long, and no rule is broken by that. */
     private static final long HELD_UP_MS = 150;
+    /** Of a client's time the coordinator leaves this much for the way; a frame tells whole milliseconds. */
+    private static final long ON_THE_WAY_MS = 5;
     private static final long TOLERANCE_MS = 250;
     /** An attempt may begin this long after its client has left. */
     private static final long LATE_ATTEMPT_MS = 100;
@@ -178,7 +180,7 @@
      * tells shows when it was made: before the pause. One thread writes, so a pause can hold up one frame only.
      */
     private boolean tookThePauseOf(Attempt a, Request request) {
-        long madeAt = request.sentAt() + (request.deadlineMs() - a.timeLeftMs) * MS;
+        long madeAt = request.sentAt() + (request.deadlineMs() - ON_THE_WAY_MS - a.timeLeftMs - 1) * MS;
         return pauses.stream().anyMatch(p -> (p.to() - p.from()) / MS > HELD_UP_MS && madeAt <= p.from()
                 && a.arrivedAt >= p.to() && (a.arrivedAt - p.to()) / MS <= TOLERANCE_MS && heldUp.add(p));
     }
