--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -562,7 +562,8 @@
      */
     boolean begin(long part, int attempt, long at) {
         Part p = parts.get(part);
-        if (p == null || attempt >= p.attempts.size() || !mayRunAgain(p, p.attempts.subList(0, attempt), at)) {
+        if (p == null || attempt >= p.attempts.size()
+                || !mayRunAgain(p, p.attempts.subList(0, attempt), at)) {
             return false;
         }
         Attempt a = p.attempts.get(attempt);
@@ -577,7 +578,7 @@
         return true;
     }
 
-    /** A further attempt counts at a later time than when it was decided; false, uncounted, where it may not. */
+    /** A further attempt counts later than when it was decided; false, and uncounted, where it may not. */
     private boolean moveInBudget(long countedAt, long at) {
         extras.removeLastOccurrence(countedAt);
         if (budgetLeft(at) < 1) {
