--- a/coordinator/src/main/java/burlford/policy/Decide.java
+++ b/coordinator/src/main/java/burlford/policy/Decide.java
@@ -167,8 +167,8 @@
     }
 
     /**
-     * Shares what the rules count with the module that this one replaces, which goes on with the queries it
-     * has: permits at servers in slow start, and further attempts with what they are a share of. Both know the
+     * Shares what the rules count with the module that this one replaces, which goes on with its queries:
+     * permits at servers in slow start, and further attempts with what they are a share of. Both know the
      * same list.
      */
     void inherit(Decide before) {
@@ -555,8 +555,8 @@
     }
 
     /**
-     * An attempt that was decided before is about to begin. Where it may, what the rules count of it counts from
-     * now on.
+     * An attempt that was decided before is about to begin. Where it may, what the rules count of it counts
+     * from now on.
      *
      * @return whether it may still begin: a part may be repeated for a while only, and within the budget
      */
