--- a/coordinator/src/test/java/burlford/play/FaultPlan.java
+++ b/coordinator/src/test/java/burlford/play/FaultPlan.java
@@ -42,8 +42,9 @@
         return new FaultPlan(0, deadlineMs, crowd, 0, 0, false, false, false, false, false, false, List.of("TERM"));
     }
 
-    /** Plays all but the signals, one fault after the other in an order of the seed's, from the first requests on. */
-    void play(Program program, List<SoakReader> readers, SoakDiscovery discovery, Audit audit) throws Exception {
+    /** Plays all but the signals, one fault after the other in an order of the seed's. onQuiet: run behind the last. */
+    void play(Program program, List<SoakReader> readers, SoakDiscovery discovery, Audit audit,
+            Runnable onQuiet) throws Exception {
         List<Fault> faults = new ArrayList<>();
         for (int i = 0; i < pauses; i++) {
             faults.add(() -> pause(program, audit));
@@ -63,6 +64,7 @@
             faults.remove(random.nextInt(faults.size())).play();
         }
         readers.get(0).resume();
+        onQuiet.run();
         Thread.sleep(QUIET_MS);
         if (hangAtEnd) {
             readers.get(0).hang();
--- a/coordinator/src/test/java/burlford/play/FaultSoakTest.java
+++ b/coordinator/src/test/java/burlford/play/FaultSoakTest.java
@@ -73,7 +73,9 @@
                 threads.add(new Thread(client));
             }
             threads.forEach(Thread::start);
-            plan.play(program, readers, discovery, audit);
+            // Behind the pauses every request is owed an answer in time again, through the shutdown.
+            plan.play(program, readers, discovery, audit,
+                    () -> clients.forEach(client -> client.leaveAtDeadline(false)));
             signalAndKill(program, plan);
             clients.forEach(SoakClient::stop);
             for (Thread t : threads) {
--- a/coordinator/src/test/java/burlford/play/SoakClient.java
+++ b/coordinator/src/test/java/burlford/play/SoakClient.java
@@ -31,7 +31,7 @@
     private final SplittableRandom random;
     private final Audit audit;
     private volatile boolean over;
-    private boolean leavesAtDeadline;
+    private volatile boolean leavesAtDeadline;
 
     SoakClient(int port, String name, int deadlineMs, long seed, Audit audit) {
         this.port = port;
