Review: a bad client is served the rows made for another company's query

A case of the review, review/6: a request that reuses the id of one whose client has left may be sent on the connection on which the first one's part was given up, and gets its late answer. Beside it the stand-ins that the cases of this review share: an agent of discovery whose list changes and that can fall silent, three members of a store, and readers that die or work on.

--- a/review/common/Reader.java
+++ b/review/common/Reader.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -36,6 +37,19 @@
     private final Writer writer;
     private final ServerSocket listener;
     private final ScheduledExecutorService work;
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    /** Is told of each part whose frame has come whole; null: nobody. */
+    volatile Sink sink;
+    /** Work that runs goes on when its part is given up, and ends in an answer as ever. */
+    volatile boolean worksOn;
+
+    /** Who keeps the book of what readers got. */
+    interface Sink {
+        void got(Reader reader, String part);
+
+        /** Its answer is about to be written, or it was given up. */
+        default void ended(Reader reader, String part) { }
+    }
 
     Reader(Rig rig, String id, int cell, ScheduledExecutorService work, Writer writer) throws IOException {
         this.rig = rig;
@@ -52,6 +66,16 @@
         });
     }
 
+    /** The process dies: its connections are reset and new ones are refused. */
+    void crash() throws IOException {
+        rig.note("reader " + id + " dies");
+        listener.close();
+        for (Socket s : connections) {
+            s.setSoLinger(true, 0);
+            s.close();
+        }
+    }
+
     static ScheduledExecutorService workers() {
         return Executors.newScheduledThreadPool(4, r -> {
             Thread t = new Thread(r, "work");
@@ -89,6 +113,7 @@
 
     private void serve(Socket socket) throws IOException {
         Map<String, ScheduledFuture<?>> out = new ConcurrentHashMap<>();
+        connections.add(socket);
         try (socket) {
             socket.setTcpNoDelay(true);
             DataInputStream in = new DataInputStream(socket.getInputStream());
@@ -103,16 +128,22 @@
                         String[] line = rest.substring(0, lineEnd).split(" ");
                         String part = line[0];
                         rig.note("reader " + id + " got " + rest.substring(0, lineEnd));
+                        if (sink != null) {
+                            sink.got(this, part);
+                        }
                         String value = value(part, rest.substring(lineEnd + 1));
                         out.put(part, work.schedule(() -> answer(to, out, part, line[2], value),
                                 ThreadLocalRandom.current().nextInt(140, 190), TimeUnit.MILLISECONDS));
                     }
                     case 'K' -> {
-                        ScheduledFuture<?> given = out.remove(rest);
+                        ScheduledFuture<?> given = worksOn ? null : out.remove(rest);
                         if (given != null) {
                             given.cancel(false);
                         }
                         rig.note("reader " + id + " is told to give up " + rest);
+                        if (sink != null) {
+                            sink.ended(this, rest);
+                        }
                     }
                     case 'U' -> send(to, frame('U', "inflight=" + out.size() + ",qps=8"));
                     case 'I' -> send(to, frame('I', "200"));
@@ -120,6 +151,7 @@
                 }
             }
         } finally {
+            connections.remove(socket);
             out.values().forEach(f -> f.cancel(false));
         }
     }
@@ -129,6 +161,9 @@
             return;
         }
         rig.note("reader " + id + " has worked on " + part + ": " + value);
+        if (sink != null) {
+            sink.ended(this, part);
+        }
         try {
             byte[] bytes = writer.bytes(this, part, list, value, !out.isEmpty());
             if (bytes != null) {
