--- a/review/common/Reader.java
+++ b/review/common/Reader.java
@@ -6,7 +6,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -16,7 +15,8 @@
 
 /**
  * A reader. It works on each part for 140 to 190 ms, as the brief says of car-lookup, and gives a value of 16 hex digits
- * that follows from the part's id and text. It answers probes at once, and what is given up it does not answer.
+ * that follows from the part's id and text. It answers probes at once, and what is given up it does not answer, unless
+ * its work goes on.
  */
 final class Reader {
 
@@ -37,20 +37,9 @@
     private final Writer writer;
     private final ServerSocket listener;
     private final ScheduledExecutorService work;
-    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
-    /** Is told of each part whose frame has come whole; null: nobody. */
-    volatile Sink sink;
     /** Work that runs goes on when its part is given up, and ends in an answer as ever. */
     volatile boolean worksOn;
 
-    /** Who keeps the book of what readers got. */
-    interface Sink {
-        void got(Reader reader, String part);
-
-        /** Its answer is about to be written, or it was given up. */
-        default void ended(Reader reader, String part) { }
-    }
-
     Reader(Rig rig, String id, int cell, ScheduledExecutorService work, Writer writer) throws IOException {
         this.rig = rig;
         this.id = id;
@@ -66,16 +55,6 @@
         });
     }
 
-    /** The process dies: its connections are reset and new ones are refused. */
-    void crash() throws IOException {
-        rig.note("reader " + id + " dies");
-        listener.close();
-        for (Socket s : connections) {
-            s.setSoLinger(true, 0);
-            s.close();
-        }
-    }
-
     static ScheduledExecutorService workers() {
         return Executors.newScheduledThreadPool(4, r -> {
             Thread t = new Thread(r, "work");
@@ -113,7 +92,6 @@
 
     private void serve(Socket socket) throws IOException {
         Map<String, ScheduledFuture<?>> out = new ConcurrentHashMap<>();
-        connections.add(socket);
         try (socket) {
             socket.setTcpNoDelay(true);
             DataInputStream in = new DataInputStream(socket.getInputStream());
@@ -128,9 +106,6 @@
                         String[] line = rest.substring(0, lineEnd).split(" ");
                         String part = line[0];
                         rig.note("reader " + id + " got " + rest.substring(0, lineEnd));
-                        if (sink != null) {
-                            sink.got(this, part);
-                        }
                         String value = value(part, rest.substring(lineEnd + 1));
                         out.put(part, work.schedule(() -> answer(to, out, part, line[2], value),
                                 ThreadLocalRandom.current().nextInt(140, 190), TimeUnit.MILLISECONDS));
@@ -141,9 +116,6 @@
                             given.cancel(false);
                         }
                         rig.note("reader " + id + " is told to give up " + rest);
-                        if (sink != null) {
-                            sink.ended(this, rest);
-                        }
                     }
                     case 'U' -> send(to, frame('U', "inflight=" + out.size() + ",qps=8"));
                     case 'I' -> send(to, frame('I', "200"));
@@ -151,7 +123,6 @@
                 }
             }
         } finally {
-            connections.remove(socket);
             out.values().forEach(f -> f.cancel(false));
         }
     }
@@ -161,9 +132,6 @@
             return;
         }
         rig.note("reader " + id + " has worked on " + part + ": " + value);
-        if (sink != null) {
-            sink.ended(this, part);
-        }
         try {
             byte[] bytes = writer.bytes(this, part, list, value, !out.isEmpty());
             if (bytes != null) {
