Extract the fixture of ReaderSocketsTest for further tests on reader sockets

Change: ReaderSocketsFixture holds the coordinator, its readers and the clients; FakeReader's values name the text, so that a test can tell whose value was served. No assertion changed.

--- a/coordinator/src/test/java/burlford/daemon/FakeReader.java
+++ b/coordinator/src/test/java/burlford/daemon/FakeReader.java
@@ -13,8 +13,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A stand-in reader that answers a part at once, unless its query's text says "hold": then once released. Counts
- * parts that have two attempts out here or at another of the same audit.
+ * A stand-in reader that answers a part at once, unless its query's text says "hold": then once released, though the
+ * part may have been cancelled. Its values name the part and the text. Counts parts that have two attempts out here or at
+ * another of the same audit.
  */
 final class FakeReader implements AutoCloseable {
 
@@ -56,6 +57,10 @@
         all.forEach(Runnable::run);
     }
 
+    static String value(String part, String text) {
+        return "value of " + part + " for " + text;
+    }
+
     private interface IoTask {
         void run() throws IOException;
     }
@@ -85,15 +90,16 @@
                     audit.out.merge(rest, -1, Integer::sum);
                 } else if (frame[0] == 'D') {
                     String part = rest.split(" ")[0];
+                    String text = rest.substring(rest.indexOf('\n') + 1);
                     audit.attempts.merge(part, 1, Integer::sum);
                     if (audit.out.merge(part, 1, Integer::sum) > 1) {
                         audit.duplicateAttempts.incrementAndGet();
                     }
                     Runnable answer = () -> {
                         audit.out.merge(part, -1, Integer::sum);
-                        write(socket, "O" + part + " 200 1 -\nvalue of " + part);
+                        write(socket, "O" + part + " 200 1 -\n" + value(part, text));
                     };
-                    if (rest.contains("hold")) {
+                    if (text.contains("hold")) {
                         synchronized (this) {
                             held.add(answer);
                         }
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -2,41 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import burlford.core.Client;
-import burlford.core.Coordinator;
-import burlford.core.Query;
-import burlford.core.ReaderConnectionLimits;
 import burlford.core.ReaderEntry;
-import burlford.core.SingleLaneState;
 import burlford.policy.Aggregator.ListKind;
 import burlford.policy.Aggregator.Status;
-import burlford.policy.Dispatcher;
-import burlford.servers.ReaderPool;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelException;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import java.io.IOException;
-import java.io.InputStream;
-import java.net.SocketException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** Connections to readers that fail or come up late, between a coordinator and stand-in readers on the loopback. */
-class ReaderSocketsTest {
+class ReaderSocketsTest extends ReaderSocketsFixture {
 
-    private static final long REAL_PATIENCE_NS = 20_000_000_000L;
-    private static final long DEADLINE_US = 4_000_000;
     private static final long SHORT_DEADLINE_US = 300_000;
     /** After so long without a word a reader is asked whether it is alive. */
     private static final long SILENCE_US = 260_000;
@@ -46,117 +22,6 @@
     private static final int LONG_TEXT_BYTES = 6_000_000;
     private static final int READ_MS = 2_000;
 
-    private final FakeReader.Audit audit = new FakeReader.Audit();
-    private final List<FakeReader> readers = new ArrayList<>();
-    private final DelayedResolver held = new DelayedResolver();
-    /** Sockets that cannot be made before one can. */
-    private final AtomicInteger failures = new AtomicInteger();
-    private final List<String> ends = new ArrayList<>();
-    private final List<Thread> threads = new ArrayList<>();
-    private String text = "e";
-    /** Clients are found to be there when they are looked at. */
-    private boolean waits = true;
-    private EventLoopDriver turns;
-    private Coordinator coordinator;
-
-    @AfterEach
-    void stop() throws IOException {
-        for (FakeReader r : readers) {
-            r.close();
-        }
-    }
-
-    /** A coordinator with so many readers, each of which holds every shard. */
-    private void start(int count, Consumer<ObjectNode> settings) throws Exception {
-        ObjectNode configuration;
-        try (InputStream in = ReaderSocketsTest.class.getResourceAsStream("/configuration.json")) {
-            configuration = (ObjectNode) new ObjectMapper().readTree(in);
-        }
-        ((ObjectNode) configuration.at("/settings/familyInfo")).put("reach", 3);
-        settings.accept((ObjectNode) configuration.get("settings"));
-        Path file = Files.createTempFile("burlford", ".json");
-        file.toFile().deleteOnExit();
-        Files.writeString(file, configuration.toString());
-        DaemonContext shared = new DaemonContext(Configuration.load(Map.of("PROXY_CONFIG", file.toString())), null);
-        turns = new EventLoopDriver(Thread.currentThread(), shared.clock);
-        coordinator = new Coordinator(shared.parsedConfiguration().site(),
-                Lane.createDispatcher(shared.parsedConfiguration(), 0, 1), new SingleLaneState(() -> 0),
-                turns.timers, turns.counters, turns.clock);
-        Bootstrap out = new Bootstrap().group(turns.loop).resolver(held).channelFactory(() -> {
-            if (failures.getAndDecrement() > 0) {
-                throw new ChannelException(new SocketException("Too many open files"));
-            }
-            return new NioSocketChannel();
-        });
-        coordinator.setReaderTransport(new ReaderPool(out, coordinator, turns.timers,
-                ReaderConnectionLimits.singleLane(), () -> 100));
-        List<ReaderEntry> entries = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            readers.add(new FakeReader(audit));
-            entries.add(entry(i, Status.READY));
-        }
-        coordinator.updateReaders(ListKind.WHOLE, entries);
-    }
-
-    private ReaderEntry entry(int i, Status status) {
-        return new ReaderEntry("s" + i, "127.0.0.1", readers.get(i).port(), "", 0, status, 1, 0);
-    }
-
-    private long ask(String id) {
-        return askFor(id, DEADLINE_US);
-    }
-
-    private long askFor(String id, long deadline) {
-        Query query = new Query(id, 1, 0, 7, false, turns.now() + deadline, text.getBytes(StandardCharsets.UTF_8),
-                List.of(new Dispatcher.Part(0, 1, 0, 7)));
-        return coordinator.submit(query, new Client() {
-            @Override
-            public void answered(boolean whole, Map<Integer, String> values) {
-                end("answered");
-            }
-
-            @Override
-            public void refused(long retryAfter) {
-                end("refused");
-            }
-
-            @Override
-            public void failed(String why) {
-                end("failed");
-            }
-
-            @Override
-            public boolean isConnected() {
-                return waits;
-            }
-        });
-    }
-
-    private void end(String how) {
-        ends.add(how);
-        threads.add(Thread.currentThread());
-    }
-
-    private void until(BooleanSupplier done) {
-        long limit = System.nanoTime() + REAL_PATIENCE_NS;
-        while (!done.getAsBoolean()) {
-            assertThat(System.nanoTime()).as("did not come to pass").isLessThan(limit);
-            turn();
-        }
-    }
-
-    private void turn() {
-        turns.loop.runNow();
-        turns.timers.runDue(turns.now());
-        Thread.yield();
-    }
-
-    /** Lets a further query through on the same connection: what was to be sent before it has been sent by then. */
-    private void letAnotherThrough() {
-        ask("after");
-        until(() -> ends.contains("answered"));
-    }
-
     /** Guards against a failed socket() that was told to the coordinator on another thread, beside its event loop. */
     @Test
     void failedSocketIsReportedOnTheEventLoop() throws Exception {
@@ -420,10 +285,4 @@
         assertThat(audit.attempts.get("q.0")).isEqualTo(1);
         assertThat(turns.counters.get("attempts.moot")).isEqualTo(1);
     }
-
-    private void awaitTime(long time) throws InterruptedException {
-        while (turns.now() < time) {
-            Thread.sleep(1);
-        }
-    }
 }
