Keep a call off connections on which an earlier one with its id may be answered

Cause: answers are matched to calls by part id, and whether a connection takes a call was decided by the calls in flight alone. A call cancelled with K, whose work goes on at the reader, was answered into a later call with the same id. The memory of cancelled ids also dropped the oldest behind 256 others.

Change: CancelledPartIds keeps each id until its answer arrives, and a call with such an id takes another connection; a connection with 256 of them takes nothing new. Idle connections in the way are closed, so that an id used again and again leaves none behind. Why it works: on one connection an id never stands for two calls whose answers may both come.

ReaderSocketsTest and TranscriptTest pass.

--- a/coordinator/src/main/java/burlford/servers/ReaderConnection.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderConnection.java
@@ -23,10 +23,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -38,8 +36,6 @@
     private static final long US_PER_MS = 1_000;
     /** A frame that has arrived in part must be complete within this time. */
     private static final long FRAME_COMPLETION_TIMEOUT_US = 250_000;
-    /** Limit on the ids of cancelled calls that are remembered, since not all of them are answered. */
-    private static final int MAX_CANCELLED_IDS = 256;
 
     /**
      * A call in flight on this connection. writeStarted: the first byte of its frame may have been written.
@@ -60,8 +56,7 @@
     private final InetSocketAddress address;
     private final Map<String, InFlightCall> calls = new LinkedHashMap<>();
     private final ArrayDeque<Probe> probes = new ArrayDeque<>();
-    /** Ids of calls that were cancelled on this connection, whose answers come late or not at all. */
-    private final Set<String> cancelledIds = new LinkedHashSet<>();
+    private final CancelledPartIds cancelledIds = new CancelledPartIds();
     /**
      * Reports of what has been read, made once all bytes that have arrived are read: if malformed ones are among them,
      * the coordinator must not send anything new on this connection before it is closed.
@@ -143,7 +138,7 @@
         onClosed();
     }
 
-    /** Takes nothing new and closes once nothing is in flight, because the reader has restarted or is going away. */
+    /** Takes nothing new and closes once nothing is in flight. */
     void drain() {
         draining = true;
         updateIdleTimer();
@@ -155,14 +150,19 @@
                 && calls.size() < pool.maxCallsPerConnection();
     }
 
-    /** As hasRoom; calls with the same part id cannot share a connection either, since answers are matched by it. */
+    /** As hasRoom, for this call. */
     boolean hasRoomFor(Call call) {
-        return hasRoom() && !calls.containsKey(call.partId);
+        return hasRoom() && !expectsAnswerTo(call.partId);
     }
 
     /** Whether one call beyond the limit can wait here, unread by the reader, if no other connection may be opened. */
     boolean canQueue(Call call) {
-        return !closed && !draining && partialFrameTimer == null && !unresponsive && !calls.containsKey(call.partId);
+        return !closed && !draining && partialFrameTimer == null && !unresponsive && !expectsAnswerTo(call.partId);
+    }
+
+    /** Whether an answer with this part id may arrive; a further call with this id could not be told apart. */
+    boolean expectsAnswerTo(String partId) {
+        return calls.containsKey(partId) || cancelledIds.contains(partId);
     }
 
     int inFlightCalls() {
@@ -254,9 +254,7 @@
         } else if (inFlight.writeStarted && !closed) {
             write(Frame.of('K', call.partId));
             cancelledIds.add(call.partId);
-            if (cancelledIds.size() > MAX_CANCELLED_IDS) {
-                cancelledIds.remove(cancelledIds.iterator().next());
-            }
+            draining |= cancelledIds.isFull();
         }
         updateIdleTimer();
     }
@@ -442,7 +440,7 @@
         }
         InFlightCall inFlight = calls.get(fields[0]);
         if (inFlight == null) {
-            if (!cancelledIds.remove(fields[0])) {
+            if (!cancelledIds.removeAnswered(fields[0])) {
                 throw new CorruptedFrameException("an answer to a part that is not in flight on this connection");
             }
             pool.counters().add("readers.answers.late");
--- a/coordinator/src/main/java/burlford/servers/ReaderPool.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderPool.java
@@ -51,18 +51,38 @@
 
     @Override
     public void send(Call call) {
-        ReaderConnection connection = findOrCreate(call.send.reader(), c -> c.hasRoomFor(call), c -> c.canQueue(call));
+        String reader = call.send.reader();
+        ReaderConnection connection = findOrCreate(reader, c -> c.hasRoomFor(call), c -> c.canQueue(call));
         if (connection == null) {
             coordinator.callEnded(call, Outcome.NO_CONNECTION, null, new double[0]);
             return;
         }
+        if (!connectionsTo(reader).contains(connection)) {
+            closeIdleConnectionsExpecting(reader, call.partId);
+        }
         connection.send(call);
-        openIfNew(call.send.reader(), connection);
+        openIfNew(reader, connection);
+    }
+
+    /**
+     * Closes the idle connections that expect an answer to an earlier call with this part id, before another one is
+     * opened for a further call: otherwise each use of an id would leave a connection behind.
+     */
+    private void closeIdleConnectionsExpecting(String reader, String partId) {
+        for (ReaderConnection connection : List.copyOf(connectionsTo(reader))) {
+            if (connection.isIdle() && connection.expectsAnswerTo(partId)) {
+                connection.close();
+            }
+        }
+    }
+
+    private List<ReaderConnection> connectionsTo(String reader) {
+        return connections.getOrDefault(reader, List.of());
     }
 
     @Override
     public void cancel(Call call) {
-        for (ReaderConnection connection : List.copyOf(connections.getOrDefault(call.send.reader(), List.of()))) {
+        for (ReaderConnection connection : List.copyOf(connectionsTo(call.send.reader()))) {
             if (connection.carries(call)) {
                 connection.cancel(call);
                 return;
@@ -72,7 +92,7 @@
 
     @Override
     public boolean withdraw(Call call) {
-        for (ReaderConnection connection : List.copyOf(connections.getOrDefault(call.send.reader(), List.of()))) {
+        for (ReaderConnection connection : List.copyOf(connectionsTo(call.send.reader()))) {
             if (connection.carries(call)) {
                 return connection.withdraw(call);
             }
@@ -93,7 +113,7 @@
 
     @Override
     public void closeIdle(String reader) {
-        for (ReaderConnection connection : List.copyOf(connections.getOrDefault(reader, List.of()))) {
+        for (ReaderConnection connection : List.copyOf(connectionsTo(reader))) {
             if (connection.isIdle()) {
                 connection.close();
             }
@@ -119,7 +139,7 @@
      * Drains the connections to a reader process that is gone: they may stay silent, so nothing new is sent on them.
      */
     private void drainConnections(String reader) {
-        List.copyOf(connections.getOrDefault(reader, List.of())).forEach(ReaderConnection::drain);
+        List.copyOf(connectionsTo(reader)).forEach(ReaderConnection::drain);
     }
 
     /**
@@ -130,7 +150,7 @@
      */
     private ReaderConnection findOrCreate(String reader, Predicate<ReaderConnection> hasRoom,
             Predicate<ReaderConnection> canQueue) {
-        List<ReaderConnection> existing = connections.getOrDefault(reader, List.of());
+        List<ReaderConnection> existing = connectionsTo(reader);
         for (ReaderConnection connection : existing) {
             if (hasRoom.test(connection)) {
                 return connection;
