Fail an answer whose length is belied by the bytes right behind it

Cause: ReaderConnection took an answer as good once its own frame was read. The rest of the value, read as an impossible length in the same read, ended the connection and was held against the call longest in flight, and close() then reported the cut value.

Change: the last answer is confirmed by a possible length behind it, or by nothing behind it. FrameSplitter, in a file of its own, keeps those bytes. Why it works: a value's rest is text, and no text is a possible length; a value that took bytes of the next frame leaves a misaligned rest while that frame's call is in flight.

--- a/coordinator/src/main/java/burlford/servers/CancelledPartIds.java
+++ b/coordinator/src/main/java/burlford/servers/CancelledPartIds.java
@@ -28,6 +28,10 @@
         return ids.remove(partId);
     }
 
+    boolean isEmpty() {
+        return ids.isEmpty();
+    }
+
     boolean isFull() {
         return ids.size() >= CAPACITY;
     }
--- a/coordinator/src/main/java/burlford/servers/ReaderConnection.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderConnection.java
@@ -15,10 +15,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderException;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -62,6 +60,11 @@
      * the coordinator must not send anything new on this connection before it is closed.
      */
     private final ArrayDeque<Runnable> pendingReports = new ArrayDeque<>();
+    /**
+     * The answer read last, until what follows it shows that its frame ended where its length says. With a wrong length
+     * its value lacks bytes or has some of the next frame.
+     */
+    private Answer unconfirmedAnswer;
     private final FrameSplitter frameSplitter = new FrameSplitter();
     private Channel channel;
     private boolean connected;
@@ -81,16 +84,8 @@
     /** A probe on this connection; probes are answered in the order sent. Each array holds one value that changes. */
     record Probe(long sentAt, Timers.Timer[] timeout, boolean[] ended) { }
 
-    /** Splits the bytes into frames and knows whether a frame has arrived in part. */
-    private static final class FrameSplitter extends LengthFieldBasedFrameDecoder {
-        FrameSplitter() {
-            super(ByteOrder.LITTLE_ENDIAN, Frame.MAX_BYTES, 0, Frame.LENGTH_BYTES, 0, Frame.LENGTH_BYTES, true);
-        }
-
-        boolean hasPartialFrame() {
-            return actualReadableBytes() > 0;
-        }
-    }
+    /** An answer to a call, as it was read. */
+    private record Answer(InFlightCall inFlight, Outcome outcome, String value, double[] loadReport) { }
 
     ReaderConnection(ReaderPool pool, ReaderEntry entry) {
         this.pool = pool;
@@ -405,6 +400,7 @@
             return;
         }
         silentSince = pool.now();
+        confirmAnswer();
         switch (frame.type()) {
             case 'I' -> {
                 if (pendingPings == 0) {
@@ -459,8 +455,33 @@
             throw new MalformedAnswerException(inFlight, e.getMessage());
         }
         calls.remove(fields[0]);
-        double[] loadReport = LoadReport.parse(fields[3], pool.site().reportColumns());
-        pendingReports.add(() -> pool.coordinator().callEnded(inFlight.call, outcome, value, loadReport));
+        unconfirmedAnswer = new Answer(inFlight, outcome, value,
+                LoadReport.parse(fields[3], pool.site().reportColumns()));
+    }
+
+    /** The bytes behind the last answer begin a frame, or there are none: its frame ended where its length says. */
+    private void confirmAnswer() {
+        if (unconfirmedAnswer != null) {
+            Answer answer = unconfirmedAnswer;
+            unconfirmedAnswer = null;
+            pendingReports.add(() -> pool.coordinator().callEnded(answer.inFlight.call, answer.outcome, answer.value,
+                    answer.loadReport));
+        }
+    }
+
+    /** The last answer may have a wrong length, so its call has failed and may have run. */
+    private void failAnswer() {
+        if (unconfirmedAnswer != null) {
+            Answer answer = unconfirmedAnswer;
+            unconfirmedAnswer = null;
+            pendingReports.add(() -> pool.coordinator().callEnded(answer.inFlight.call, Outcome.ERROR, null,
+                    NO_LOAD_REPORT));
+        }
+    }
+
+    /** Whether the reader owes a frame on this connection, even if nobody waits for it any more. */
+    private boolean expectsFrame() {
+        return !calls.isEmpty() || !probes.isEmpty() || pendingPings > 0 || !cancelledIds.isEmpty();
     }
 
     /** A malformed answer whose part is known. */
@@ -475,20 +496,23 @@
     }
 
     /**
-     * All that has arrived is read. A partial frame with nothing in flight consists of stray bytes behind a valid
-     * answer. With something in flight it may be an answer that never ends, so the connection takes nothing new until
-     * the rest of the frame has arrived.
+     * All that has arrived is read. A partial frame where the reader owes none consists of stray bytes behind a valid
+     * answer. Else it may be an answer that never ends, so the connection takes nothing new until the rest of the frame
+     * has arrived. A partial frame whose length has arrived was checked by the splitter; with less of it the answer
+     * before stays unconfirmed.
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (!closed && frameSplitter.hasPartialFrame()) {
-            if (isIdle()) {
-                failMalformed(null, "stray bytes behind the last answer");
-            } else if (partialFrameTimer == null) {
-                partialFrameTimer = pool.timers().schedule(pool.now() + FRAME_COMPLETION_TIMEOUT_US,
-                        () -> failMalformed(null, "a frame that does not end"));
-            }
-        } else if (partialFrameTimer != null) {
+        int partialFrameBytes = closed ? 0 : frameSplitter.partialFrameBytes();
+        if (partialFrameBytes == 0 || partialFrameBytes >= Frame.LENGTH_BYTES) {
+            confirmAnswer();
+        }
+        if (partialFrameBytes > 0 && !expectsFrame()) {
+            failMalformed(null, "stray bytes behind the last answer");
+        } else if (partialFrameBytes > 0 && partialFrameTimer == null) {
+            partialFrameTimer = pool.timers().schedule(pool.now() + FRAME_COMPLETION_TIMEOUT_US,
+                    () -> failMalformed(null, "a frame that does not end"));
+        } else if (partialFrameBytes == 0 && partialFrameTimer != null) {
             pool.timers().cancel(partialFrameTimer);
             partialFrameTimer = null;
         }
@@ -503,26 +527,43 @@
     }
 
     /**
-     * Closes the connection, since nothing that arrives on it can be trusted any more. The answered call, or where it
-     * is unknown the one longest in flight, has failed and may have run; the other calls end as cancelled and may be
-     * sent elsewhere. They do not end as dropped, since that would make their queries suspect.
+     * Closes the connection, since nothing that arrives on it can be trusted any more. The answered call has failed and
+     * may have run; where it is unknown, the call of the answer right before the malformed bytes, if these may be part
+     * of it, else the one longest in flight. The other calls end as cancelled and may be sent elsewhere. They do not
+     * end as dropped, since that would make their queries suspect.
      */
     private void failMalformed(InFlightCall answered, String reason) {
         if (closed) {
             return;
         }
         pool.counters().add("readers.frames.bad");
-        if (!calls.isEmpty()) {
+        boolean answerFails = unconfirmedAnswer != null && lengthMayBeWrong();
+        if (!calls.isEmpty() || answerFails) {
             LOG.log(Level.WARNING, "reader {0}: {1}", new Object[] {reader, reason});
         }
+        if (answerFails) {
+            failAnswer();
+        } else {
+            confirmAnswer();
+        }
         List<InFlightCall> callsInFlight = new ArrayList<>(calls.values());
         calls.clear();
         close();
-        InFlightCall failed = answered == null && !callsInFlight.isEmpty() ? callsInFlight.get(0) : answered;
+        InFlightCall failed = answered == null && !answerFails && !callsInFlight.isEmpty() ? callsInFlight.get(0)
+                : answered;
         callsInFlight.forEach(c -> pool.coordinator().callEnded(c.call, !c.fullyWritten ? Outcome.NO_CONNECTION
                 : c == failed ? Outcome.ERROR : Outcome.CANCELLED, null, NO_LOAD_REPORT));
     }
 
+    /**
+     * Whether the last answer's length may be the cause of the malformed bytes behind it: too small, so that they are
+     * the rest of its value, or too large, so that they are what its value has left of the next frame. Where the reader
+     * owes no frame, bytes that cannot belong to a value are noise behind a valid answer.
+     */
+    private boolean lengthMayBeWrong() {
+        return expectsFrame() || ReaderValue.couldContinueWith(frameSplitter.bytesBehindLastFrame());
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         onClosed();
@@ -559,6 +600,7 @@
         pool.timers().cancel(silenceTimer);
         pool.timers().cancel(writeTimer);
         pool.removeConnection(reader, this);
+        failAnswer();
         runPendingReports();
         List<InFlightCall> lostCalls = new ArrayList<>(calls.values());
         List<Probe> unansweredProbes = new ArrayList<>(probes);
--- a/coordinator/src/test/java/burlford/play/TranscriptTest.java
+++ b/coordinator/src/test/java/burlford/play/TranscriptTest.java
@@ -25,7 +25,8 @@
      * Exchanges that hold for one lane alone: a reader in them goes on with the connection it has where another
      * client asks, which may be on another lane, or they count lists, which each lane takes.
      */
-    private static final Set<String> ONE_LANE = Set.of("client-leaves.txt",
+    private static final Set<String> ONE_LANE = Set.of("answers-with-wrong-lengths.txt",
+            "client-leaves.txt",
             "client-pipelines.txt",
             "client-sends-many-and-leaves.txt",
             "connections-that-break.txt",
