Reject a value that has taken in the frame behind it

Cause: any UTF-8 was taken as a value, and a whole frame is UTF-8.

Change: a value with a NUL makes its answer malformed. Why it works: frames are at most 128 KiB, so that the last byte of each frame's length is NUL, and a value that took in a whole frame has it. Values of readers are text.

--- a/coordinator/src/main/java/burlford/servers/ReaderConnection.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderConnection.java
@@ -450,7 +450,7 @@
         };
         String value;
         try {
-            value = outcome == Outcome.OK ? frame.text(lineEnd + 1) : null;
+            value = outcome == Outcome.OK ? ReaderValue.decode(frame, lineEnd + 1) : null;
         } catch (CorruptedFrameException e) {
             throw new MalformedAnswerException(inFlight, e.getMessage());
         }
