Bound in bytes what a store member reads, keeps and sends of its log

The start read the whole file at once, into a direct buffer as long as it: "Cannot reserve bytes of direct buffer memory (limit:)".

Why it works: no buffer, record or message grows with the log any more.

--- a/coordinator/src/main/java/burlford/daemon/Daemon.java
+++ b/coordinator/src/main/java/burlford/daemon/Daemon.java
@@ -10,6 +10,7 @@
 import burlford.store.ReplicatedStore;
 import burlford.store.Store;
 import burlford.store.StoreFront;
+import burlford.store.StoreLimits;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -213,7 +214,7 @@
             return new MemoryStore(shared.configuration().name());
         }
         ReplicatedStore store = new ReplicatedStore(turns.loop, serving.outboundBootstrap(), turns.timers, turns.clock,
-                r.member(), r.directory(), r.peerAddresses());
+                r.member(), r.directory(), r.peerAddresses(), StoreLimits.forHeap(Runtime.getRuntime().maxMemory()));
         turns.awaitBound(store.start(new ServerBootstrap().group(turns.loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true), r.peerAddresses().get(r.member())), r.peerAddresses()
                 .get(r.member()));
--- a/coordinator/src/main/java/burlford/store/LogFile.java
+++ b/coordinator/src/main/java/burlford/store/LogFile.java
@@ -12,7 +12,6 @@
 import io.microraft.persistence.RestoredRaftState;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -21,42 +20,47 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import java.util.zip.CRC32C;
 
 /**
- * A member's durable log: a file of records, each with a length, a checksum (CRC-32C) and a payload, which is either
- * a model as JSON or a removal of earlier records as text. A crash can leave only the last record incomplete, and a
- * record that was not synced was not acknowledged, so an incomplete last record is truncated. A record damaged
- * anywhere else may have been acknowledged, so the member does not start.
+ * A member's durable log: a file of records, whose payload is either a model as JSON or a removal of earlier records as
+ * text. A crash can leave only the last record incomplete, and a record that was not synced was not acknowledged, so an
+ * incomplete last record is truncated. A record damaged anywhere else may have been acknowledged, so the member does not
+ * start. Of entries and snapshots only their positions in the file are kept in memory.
  */
 final class LogFile implements RaftStore, AutoCloseable {
 
     private static final Logger LOG = Logger.getLogger(LogFile.class.getName());
-    /** Length and checksum, 4 bytes each. */
-    private static final int HEADER_BYTES = 8;
-    private static final int MAX_RECORD_BYTES = 1 << 26;
+    private static final DefaultRaftModelFactory FACTORY = new DefaultRaftModelFactory();
     private static final String TRUNCATE_FROM = "from ";
     private static final String TRUNCATE_UNTIL = "until ";
     private static final String DELETE_CHUNKS = "drop ";
 
     private final Path path;
     private final Opener opener;
-    private FileChannel file;
-    /** File offset at which the next record is written. */
-    private long endOffset;
-    /** The last write failed, so part of a record may follow {@code endOffset}. */
+    private RecordFile file;
+    /** The last write failed, so part of a record may stand behind the complete ones. */
     private boolean partialTail;
     /** Records written since the last successful sync; written again if a sync fails. */
-    private final ByteArrayOutputStream unsyncedBytes = new ByteArrayOutputStream();
+    private ByteArrayOutputStream unsyncedBytes = new ByteArrayOutputStream();
     private boolean syncFailed;
     private RaftEndpointPersistentState endpoint;
     private RaftGroupMembersView members;
     private RaftTermPersistentState term;
-    private final TreeMap<Long, LogEntry> entries = new TreeMap<>();
-    private final TreeMap<Long, TreeMap<Integer, SnapshotChunk>> chunks = new TreeMap<>();
+    /** By index. */
+    private TreeMap<Long, RecordPosition> entries = new TreeMap<>();
+    /** By index. */
+    private TreeMap<Long, SnapshotRecords> snapshots = new TreeMap<>();
+
+    /** The chunks of a snapshot by their number; not all may have been written yet. */
+    private record SnapshotRecords(int chunkCount, TreeMap<Integer, RecordPosition> chunks) {
+        boolean isComplete() {
+            return chunks.size() == chunkCount;
+        }
+    }
 
     /** Opens the file; tests substitute one whose writes and syncs fail. */
     interface Opener {
@@ -71,143 +75,150 @@
     LogFile(Path path, Opener opener) throws IOException {
         this.path = path;
         this.opener = opener;
-        file = opener.open(path);
+        file = new RecordFile(opener.open(path));
         replay();
     }
 
     private void replay() throws IOException {
-        ByteBuffer content = ByteBuffer.wrap(Files.readAllBytes(path));
-        int offset = 0;
-        while (offset < content.limit()) {
-            int remaining = content.limit() - offset - HEADER_BYTES;
-            int length = remaining < 0 ? -1 : content.getInt(offset);
-            boolean complete = length >= 0 && length <= remaining;
-            if (complete && checksum(content.array(), offset + HEADER_BYTES, length) == content.getInt(offset + 4)) {
-                byte[] record = new byte[length];
-                content.get(offset + HEADER_BYTES, record);
-                apply(record);
-                offset += HEADER_BYTES + length;
-            } else if (length > MAX_RECORD_BYTES || length < -1
-                    || complete && offset + HEADER_BYTES + length < content.limit()) {
-                throw new IOException(path + " is damaged at byte " + offset
-                        + "; its records may have been acknowledged");
-            } else {
-                LOG.log(Level.WARNING, "{0}: truncated an incomplete record at byte {1}", new Object[] {path, offset});
-                file.truncate(offset);
-                file.force(true);
-                break;
-            }
+        boolean complete;
+        try {
+            complete = file.readAll(this::replay);
+        } catch (DamagedRecordException e) {
+            throw new IOException(path + " is damaged at byte " + e.offset() + "; its records may have been acknowledged",
+                    e);
+        }
+        if (!complete) {
+            LOG.log(Level.WARNING, "{0}: truncated an incomplete record at byte {1}",
+                    new Object[] {path, file.endOffset()});
+            file.truncateTail();
+            file.sync(true);
         }
-        endOffset = offset;
     }
 
-    private void apply(byte[] record) throws IOException {
-        if (record[0] == '{') {
-            RaftModel model = RaftCodec.decode(record);
-            if (model instanceof LogEntry e) {
-                entries.put(e.getIndex(), e);
-            } else if (model instanceof SnapshotChunk c) {
-                chunks.computeIfAbsent(c.getIndex(), i -> new TreeMap<>()).put(c.getSnapshotChunkIndex(), c);
-            } else if (model instanceof RaftTermPersistentState t) {
-                term = t;
-            } else if (model instanceof RaftGroupMembersView m) {
-                members = m;
-            } else if (model instanceof RaftEndpointPersistentState e) {
-                endpoint = e;
-            }
-            return;
-        }
-        String text = new String(record, StandardCharsets.UTF_8);
-        long index = Long.parseLong(text.substring(text.indexOf(' ') + 1));
-        if (text.startsWith(TRUNCATE_FROM)) {
-            entries.tailMap(index, true).clear();
-        } else if (text.startsWith(TRUNCATE_UNTIL)) {
-            entries.headMap(index, true).clear();
+    private void replay(RecordPosition position, byte[] payload) throws IOException {
+        if (payload[0] == '{') {
+            apply(RaftCodec.decode(payload), position);
         } else {
-            chunks.remove(index);
+            String text = new String(payload, StandardCharsets.UTF_8);
+            int separator = text.indexOf(' ') + 1;
+            applyRemoval(text.substring(0, separator), Long.parseLong(text.substring(separator)));
         }
     }
 
-    /** The Raft state read from the file at start; null for a member that has never run. */
-    RestoredRaftState restoredState() {
+    private void apply(RaftModel model, RecordPosition position) {
+        if (model instanceof LogEntry e) {
+            entries.put(e.getIndex(), position);
+        } else if (model instanceof SnapshotChunk c) {
+            snapshots.computeIfAbsent(c.getIndex(), i -> new SnapshotRecords(c.getSnapshotChunkCount(), new TreeMap<>()))
+                    .chunks.put(c.getSnapshotChunkIndex(), position);
+        } else if (model instanceof RaftTermPersistentState t) {
+            term = t;
+        } else if (model instanceof RaftGroupMembersView m) {
+            members = m;
+        } else if (model instanceof RaftEndpointPersistentState e) {
+            endpoint = e;
+        }
+    }
+
+    private void applyRemoval(String operation, long index) {
+        switch (operation) {
+            case TRUNCATE_FROM -> entries.tailMap(index, true).clear();
+            case TRUNCATE_UNTIL -> entries.headMap(index, true).clear();
+            default -> snapshots.remove(index);
+        }
+    }
+
+    /** Reads the Raft state that the file holds; null for a member that has never run. */
+    RestoredRaftState restoredState() throws IOException {
         if (endpoint == null || members == null) {
             return null;
         }
-        SnapshotEntry snapshot = null;
-        for (TreeMap<Integer, SnapshotChunk> snapshotChunks : chunks.values()) {
-            SnapshotChunk first = snapshotChunks.firstEntry().getValue();
-            if (snapshotChunks.size() == first.getSnapshotChunkCount()) {
-                snapshot = new DefaultRaftModelFactory().createSnapshotEntryBuilder().setIndex(first.getIndex())
-                        .setTerm(first.getTerm()).setSnapshotChunks(new ArrayList<>(snapshotChunks.values()))
-                        .setGroupMembersView(first.getGroupMembersView()).build();
-            }
-        }
+        SnapshotEntry snapshot = newestCompleteSnapshot();
         long snapshotIndex = snapshot == null ? 0 : snapshot.getIndex();
-        RaftTermPersistentState persistedTerm = term != null ? term : new DefaultRaftModelFactory()
-                .createRaftTermPersistentStateBuilder().setTerm(0).build();
-        return new RestoredRaftState(endpoint, members, persistedTerm, snapshot,
-                new ArrayList<>(entries.tailMap(snapshotIndex, false).values()));
+        RaftTermPersistentState persistedTerm = term != null ? term
+                : FACTORY.createRaftTermPersistentStateBuilder().setTerm(0).build();
+        List<LogEntry> entriesBehindSnapshot = new ArrayList<>();
+        for (RecordPosition position : entries.tailMap(snapshotIndex, false).values()) {
+            entriesBehindSnapshot.add((LogEntry) read(position));
+        }
+        return new RestoredRaftState(endpoint, members, persistedTerm, snapshot, entriesBehindSnapshot);
     }
 
-    private void append(byte[] record) throws IOException {
-        ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + record.length).putInt(record.length)
-                .putInt(checksum(record, 0, record.length)).put(record).flip();
-        if (partialTail) {
-            file.truncate(endOffset);
+    private SnapshotEntry newestCompleteSnapshot() throws IOException {
+        Long index = newestCompleteSnapshotIndex();
+        if (index == null) {
+            return null;
         }
-        partialTail = true;
-        write(buffer.duplicate(), endOffset);
-        partialTail = false;
-        endOffset += buffer.limit();
-        unsyncedBytes.write(buffer.array(), 0, buffer.limit());
-        apply(record);
+        List<SnapshotChunk> snapshotChunks = new ArrayList<>();
+        for (RecordPosition position : snapshots.get(index).chunks.values()) {
+            snapshotChunks.add((SnapshotChunk) read(position));
+        }
+        SnapshotChunk first = snapshotChunks.get(0);
+        return FACTORY.createSnapshotEntryBuilder().setIndex(index).setTerm(first.getTerm())
+                .setSnapshotChunks(snapshotChunks).setGroupMembersView(first.getGroupMembersView()).build();
     }
 
-    private void write(ByteBuffer bytes, long offset) throws IOException {
-        long position = offset;
-        while (bytes.hasRemaining()) {
-            position += file.write(bytes, position);
-        }
+    /** Null where there is none. */
+    private Long newestCompleteSnapshotIndex() {
+        return snapshots.descendingMap().entrySet().stream().filter(s -> s.getValue().isComplete())
+                .map(Map.Entry::getKey).findFirst().orElse(null);
     }
 
-    private static int checksum(byte[] bytes, int offset, int length) {
-        CRC32C crc = new CRC32C();
-        crc.update(bytes, offset, length);
-        return (int) crc.getValue();
+    private RaftModel read(RecordPosition position) throws IOException {
+        return RaftCodec.decode(file.read(position));
+    }
+
+    private void append(RaftModel model) throws IOException {
+        apply(model, append(RaftCodec.encode(model)));
     }
 
     private void append(String operation, long index) throws IOException {
         append((operation + index).getBytes(StandardCharsets.UTF_8));
+        applyRemoval(operation, index);
+    }
+
+    private RecordPosition append(byte[] payload) throws IOException {
+        byte[] encoded = RecordFile.encode(payload);
+        if (partialTail) {
+            file.truncateTail();
+        }
+        partialTail = true;
+        RecordPosition position = file.append(encoded);
+        partialTail = false;
+        unsyncedBytes.write(encoded, 0, encoded.length);
+        return position;
     }
 
     @Override
     public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState state) throws IOException {
-        append(RaftCodec.encode(state));
+        append(state);
         flush();
     }
 
     @Override
     public void persistAndFlushInitialGroupMembers(RaftGroupMembersView view) throws IOException {
-        append(RaftCodec.encode(view));
+        append(view);
         flush();
     }
 
     @Override
     public void persistAndFlushTerm(RaftTermPersistentState state) throws IOException {
-        append(RaftCodec.encode(state));
+        append(state);
         flush();
     }
 
     @Override
     public void persistLogEntries(List<LogEntry> logEntries) throws IOException {
         for (LogEntry entry : logEntries) {
-            append(RaftCodec.encode(entry));
+            append(entry);
         }
     }
 
+    /** Each chunk is synced by itself: what is not synced yet is kept in memory, and a snapshot may be large. */
     @Override
     public void persistSnapshotChunk(SnapshotChunk chunk) throws IOException {
-        append(RaftCodec.encode(chunk));
+        append(chunk);
+        flush();
     }
 
     @Override
@@ -216,55 +227,68 @@
     }
 
     /**
-     * Drops the entries that a snapshot replaces: writes the remaining records to a new file, which then replaces the
-     * old one atomically. If that fails, the old file stays in use.
+     * Drops the entries and the older snapshots that the newest snapshot replaces: copies the remaining records to a new
+     * file, which then replaces the old one atomically. If that fails, the old file stays in use.
      */
     @Override
     public void truncateLogEntriesUntil(long index) throws IOException {
         append(TRUNCATE_UNTIL, index);
         flush();
-        FileChannel oldFile = file;
-        long oldEndOffset = endOffset;
+        Long newestSnapshot = newestCompleteSnapshotIndex();
+        if (newestSnapshot != null) {
+            snapshots.headMap(newestSnapshot, false).clear();
+        }
+        RecordFile oldFile = file;
         Path newPath = path.resolveSibling(path.getFileName() + ".new");
-        Files.deleteIfExists(newPath);
+        RecordFile newFile = null;
         try {
-            file = opener.open(newPath);
-            endOffset = 0;
-            rewrite();
-            Files.move(newPath, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            Files.deleteIfExists(newPath);
+            newFile = new RecordFile(opener.open(newPath));
+            replaceFile(newFile, newPath);
         } catch (IOException e) {
             LOG.log(Level.WARNING, path + " could not be compacted; the existing file stays in use", e);
-            file = oldFile;
-            endOffset = oldEndOffset;
-            partialTail = false;
-            syncFailed = false;
-            unsyncedBytes.reset();
+            if (newFile != null) {
+                newFile.close();
+            }
             return;
         }
         syncDirectory();
         oldFile.close();
     }
 
-    /** Makes the rename durable: otherwise a crash could lose the records synced to the renamed file. */
-    private void syncDirectory() throws IOException {
-        try (FileChannel directory = FileChannel.open(path.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
-            directory.force(true);
-        }
-    }
-
-    private void rewrite() throws IOException {
-        List<RaftModel> models = new ArrayList<>();
+    private void replaceFile(RecordFile newFile, Path newPath) throws IOException {
         for (RaftModel model : new RaftModel[] {endpoint, members, term}) {
             if (model != null) {
-                models.add(model);
+                newFile.append(RecordFile.encode(RaftCodec.encode(model)));
             }
         }
-        chunks.values().forEach(c -> models.addAll(c.values()));
-        models.addAll(entries.values());
-        for (RaftModel model : models) {
-            append(RaftCodec.encode(model));
+        TreeMap<Long, SnapshotRecords> newSnapshots = new TreeMap<>();
+        for (Map.Entry<Long, SnapshotRecords> snapshot : snapshots.entrySet()) {
+            newSnapshots.put(snapshot.getKey(), new SnapshotRecords(snapshot.getValue().chunkCount,
+                    copyRecords(snapshot.getValue().chunks, newFile)));
+        }
+        TreeMap<Long, RecordPosition> newEntries = copyRecords(entries, newFile);
+        newFile.sync(false);
+        Files.move(newPath, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        file = newFile;
+        snapshots = newSnapshots;
+        entries = newEntries;
+    }
+
+    private <K> TreeMap<K, RecordPosition> copyRecords(TreeMap<K, RecordPosition> positions, RecordFile to)
+            throws IOException {
+        TreeMap<K, RecordPosition> newPositions = new TreeMap<>();
+        for (Map.Entry<K, RecordPosition> record : positions.entrySet()) {
+            newPositions.put(record.getKey(), to.append(RecordFile.encode(file.read(record.getValue()))));
+        }
+        return newPositions;
+    }
+
+    /** Makes the rename durable: otherwise a crash could lose the records synced to the renamed file. */
+    private void syncDirectory() throws IOException {
+        try (FileChannel directory = FileChannel.open(path.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
+            directory.force(true);
         }
-        flush();
     }
 
     @Override
@@ -279,12 +303,12 @@
     @Override
     public void flush() throws IOException {
         if (syncFailed) {
-            write(ByteBuffer.wrap(unsyncedBytes.toByteArray()), endOffset - unsyncedBytes.size());
+            file.rewriteTail(unsyncedBytes.toByteArray());
         }
         syncFailed = true;
-        file.force(false);
+        file.sync(false);
         syncFailed = false;
-        unsyncedBytes.reset();
+        unsyncedBytes = new ByteArrayOutputStream();
     }
 
     @Override
--- a/coordinator/src/main/java/burlford/store/ReplicatedStore.java
+++ b/coordinator/src/main/java/burlford/store/ReplicatedStore.java
@@ -6,6 +6,7 @@
 import io.microraft.RaftEndpoint;
 import io.microraft.RaftNode;
 import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.persistence.RestoredRaftState;
 import io.microraft.statemachine.StateMachine;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -39,10 +40,16 @@
     /** Operation that a new leader commits to start its term; it changes no key. */
     private static final String NEW_TERM = "";
     private static final long WRITE_TIMEOUT_US = 10_000_000;
+    /** Bounds the messages to a member that lags: each entry may be as long as the longest value. */
+    static final int MAX_ENTRIES_PER_MESSAGE = 16;
+    /** Of so many entries the node keeps a tenth behind a snapshot while a member lags: as many as a message takes. */
+    private static final int COMMITS_PER_SNAPSHOT = 10 * MAX_ENTRIES_PER_MESSAGE;
+    private static final int BYTES_PER_CHARACTER = 2;
 
     private final EventLoop loop;
     private final Timers timers;
     private final LongSupplier clock;
+    private final StoreLimits limits;
     private final Member member;
     private final LogFile log;
     private final MemberTransport transport;
@@ -54,20 +61,23 @@
     private boolean closed;
 
     public ReplicatedStore(EventLoop loop, Bootstrap bootstrap, Timers timers, LongSupplier clock, String name,
-            Path directory, Map<String, InetSocketAddress> members) throws IOException {
+            Path directory, Map<String, InetSocketAddress> members, StoreLimits limits) throws IOException {
         this.loop = loop;
+        this.limits = limits;
         this.timers = timers;
         this.clock = clock;
         member = new Member(name);
         log = new LogFile(Files.createDirectories(directory).resolve(name + ".log"));
         transport = new MemberTransport(loop, bootstrap, members);
         RaftConfig config = RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(1).setLeaderHeartbeatTimeoutSecs(3)
-                .setLeaderElectionTimeoutMillis(500).setCommitCountToTakeSnapshot(1000).build();
+                .setLeaderElectionTimeoutMillis(500).setCommitCountToTakeSnapshot(COMMITS_PER_SNAPSHOT)
+                .setAppendEntriesRequestBatchSize(MAX_ENTRIES_PER_MESSAGE).build();
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId("burlford").setConfig(config)
                 .setTransport(transport).setStateMachine(new StoreStateMachine()).setStore(log)
                 .setExecutor(new StoreThreadExecutor());
-        if (log.restoredState() != null) {
-            builder.setRestoredState(log.restoredState());
+        RestoredRaftState restoredState = log.restoredState();
+        if (restoredState != null) {
+            builder.setRestoredState(restoredState);
         } else {
             builder.setLocalEndpoint(member).setInitialGroupMembers(
                     members.keySet().stream().map(m -> (RaftEndpoint) new Member(m)).toList());
@@ -150,12 +160,21 @@
         });
     }
 
+    private void runOnStoreThread(Runnable task) {
+        if (!thread.isShutdown()) {
+            thread.execute(task);
+        }
+    }
+
     /** The replicated state machine; runs on the store's thread and reports committed entries to the event loop. */
     private final class StoreStateMachine implements StateMachine {
         private final VersionedMap map = new VersionedMap();
+        private long bytesSinceSnapshot;
+        private boolean snapshotRequested;
 
         @Override
         public Object runOperation(long index, Object operation) {
+            requestSnapshotIfDue((String) operation);
             if (NEW_TERM.equals(operation)) {
                 return null;
             }
@@ -167,14 +186,28 @@
             return applied.writeResult();
         }
 
+        /**
+         * Has a snapshot taken once the operations since the last one are too many bytes to keep. The node itself counts
+         * commits only, however long their operations are.
+         */
+        private void requestSnapshotIfDue(String operation) {
+            bytesSinceSnapshot += (long) BYTES_PER_CHARACTER * operation.length();
+            if (bytesSinceSnapshot >= limits.logBytes() && !snapshotRequested) {
+                snapshotRequested = true;
+                node.takeSnapshot().whenComplete((report, failure) -> runOnStoreThread(() -> snapshotRequested = false));
+            }
+        }
+
         @Override
         public void takeSnapshot(long index, Consumer<Object> chunks) {
-            chunks.accept(map.snapshot());
+            bytesSinceSnapshot = 0;
+            map.snapshot(limits.snapshotChunkBytes()).forEach(chunks);
         }
 
         @Override
         public void installSnapshot(long index, List<Object> chunks) {
-            map.restore((String) chunks.get(0));
+            bytesSinceSnapshot = 0;
+            map.restore(chunks.stream().map(String.class::cast).toList());
             Map<String, Entry> all = new TreeMap<>(map.entries());
             loop.execute(() -> applyCommitted(all));
         }
@@ -190,9 +223,7 @@
 
         @Override
         public void execute(Runnable task) {
-            if (!thread.isShutdown()) {
-                thread.execute(task);
-            }
+            runOnStoreThread(task);
         }
 
         @Override
--- a/coordinator/src/main/java/burlford/store/VersionedMap.java
+++ b/coordinator/src/main/java/burlford/store/VersionedMap.java
@@ -7,6 +7,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -39,16 +41,32 @@
         return entries;
     }
 
-    String snapshot() {
-        ObjectNode root = JSON.createObjectNode();
-        entries.forEach((k, e) -> root.putObject(k).put("version", e.version()).put("value", e.value()));
-        return root.toString();
+    /** The entries in chunks, each of which ends with the entry that makes it as long as chunkBytes. */
+    List<String> snapshot(int chunkBytes) {
+        List<String> chunks = new ArrayList<>();
+        ObjectNode chunk = JSON.createObjectNode();
+        long bytes = 0;
+        for (Map.Entry<String, Entry> e : entries.entrySet()) {
+            chunk.putObject(e.getKey()).put("version", e.getValue().version()).put("value", e.getValue().value());
+            bytes += e.getKey().length() + e.getValue().value().length();
+            if (bytes >= chunkBytes) {
+                chunks.add(chunk.toString());
+                chunk = JSON.createObjectNode();
+                bytes = 0;
+            }
+        }
+        if (!chunk.isEmpty() || chunks.isEmpty()) {
+            chunks.add(chunk.toString());
+        }
+        return chunks;
     }
 
-    void restore(String snapshot) {
+    void restore(List<String> chunks) {
         entries.clear();
-        parseJson(snapshot).properties().forEach(e -> entries.put(e.getKey(),
-                new Entry(e.getValue().get("version").longValue(), e.getValue().get("value").textValue())));
+        for (String chunk : chunks) {
+            parseJson(chunk).properties().forEach(e -> entries.put(e.getKey(),
+                    new Entry(e.getValue().get("version").longValue(), e.getValue().get("value").textValue())));
+        }
     }
 
     private static JsonNode parseJson(String text) {
--- a/coordinator/src/test/java/burlford/play/CoordinatorProcess.java
+++ b/coordinator/src/test/java/burlford/play/CoordinatorProcess.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -50,10 +51,18 @@
 
     /** Serves with this configuration, and the operator's file if there is one. */
     public static CoordinatorProcess serve(ObjectNode configuration, String operator) throws IOException {
+        return serve(configuration, operator, Map.of());
+    }
+
+    /** As the other, with variables of its environment. */
+    static CoordinatorProcess serve(ObjectNode configuration, String operator, Map<String, String> environment)
+            throws IOException {
         Path file = temporaryFile(".json", new ObjectMapper().writeValueAsString(configuration));
         String[] args = operator == null ? new String[] {"serve"}
                 : new String[] {"serve", "--operator", temporaryFile(".yaml", operator).toString()};
-        CoordinatorProcess program = new CoordinatorProcess(Map.of("PROXY_CONFIG", file.toString()), args);
+        Map<String, String> variables = new HashMap<>(environment);
+        variables.put("PROXY_CONFIG", file.toString());
+        CoordinatorProcess program = new CoordinatorProcess(variables, args);
         program.file = file;
         return program;
     }
--- a/coordinator/src/test/java/burlford/store/LogFileTest.java
+++ b/coordinator/src/test/java/burlford/store/LogFileTest.java
@@ -5,8 +5,11 @@
 
 import io.microraft.model.impl.DefaultRaftModelFactory;
 import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.SnapshotChunk;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.List;
@@ -75,4 +78,30 @@
         log.flush();
         assertThat(restoredIndexes()).containsExactly(1L, 2L);
     }
+
+    private static SnapshotChunk snapshot(long index) {
+        return new DefaultRaftModelFactory().createSnapshotChunkBuilder().setIndex(index).setTerm(1)
+                .setSnapshotChunkIndex(0).setSnapshotChunkCount(1).setOperation("snapshot at " + index)
+                .setGroupMembersView(new DefaultRaftModelFactory().createRaftGroupMembersViewBuilder().setLogIndex(0)
+                        .setMembers(List.of(new Member("n0"))).setVotingMembers(List.of(new Member("n0"))).build())
+                .build();
+    }
+
+    /** Guards against a log that keeps each snapshot ever taken, and so grows by the whole state with each. */
+    @Test
+    void compactionDropsOlderSnapshots() throws IOException {
+        for (long index = 1; index <= 4; index++) {
+            log.persistLogEntries(List.of(entry(index)));
+            log.persistSnapshotChunk(snapshot(index));
+            log.flush();
+            log.truncateLogEntriesUntil(index);
+        }
+        log.persistLogEntries(List.of(entry(5)));
+        log.flush();
+        assertThat(Files.readString(path, StandardCharsets.ISO_8859_1)).contains("snapshot at 4").doesNotContain("snapshot at 3");
+        assertThat(restoredIndexes()).containsExactly(5L);
+        try (LogFile reopened = new LogFile(path)) {
+            assertThat(reopened.restoredState().getSnapshotEntry().getIndex()).isEqualTo(4);
+        }
+    }
 }
--- a/coordinator/src/test/java/burlford/store/ReplicatedStoreTest.java
+++ b/coordinator/src/test/java/burlford/store/ReplicatedStoreTest.java
@@ -31,6 +31,9 @@
 class ReplicatedStoreTest {
 
     private static final long TIMEOUT_S = 60;
+    private static final StoreLimits LIMITS = new StoreLimits(1 << 20, 1 << 16);
+    private static final int LONG_VALUE_CHARACTERS = 60_000;
+    private static final int WRITES = 100;
 
     @TempDir
     private Path directory;
@@ -59,7 +62,7 @@
 
     private void start(String name) throws IOException {
         ReplicatedStore store = new ReplicatedStore(loop, new Bootstrap().group(loop).channel(NioSocketChannel.class),
-                timers, () -> System.nanoTime() / 1000, name, directory, addresses);
+                timers, () -> System.nanoTime() / 1000, name, directory, addresses, LIMITS);
         ChannelFuture bound = store.start(new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class),
                 addresses.get(name));
         await(bound::isDone);
@@ -162,4 +165,30 @@
         Files.write(log, bytes.put(20, (byte) ~bytes.get(20)).array());
         assertThatThrownBy(() -> start(torn)).isInstanceOf(IOException.class).hasMessageContaining("damaged at byte 0");
     }
+
+    /** Guards against a log without a bound in bytes, which outgrows the memory with which a member starts again. */
+    @Test
+    void logIsCompactedByItsLengthWhetherOrNotAMemberLags() throws IOException {
+        String leader = leader();
+        String lagging = follower(leader);
+        String value = "v".repeat(LONG_VALUE_CHARACTERS);
+        assertThat(put(leader, 0, value).outcome()).isEqualTo(Store.Outcome.STORED);
+        stop(lagging);
+        for (int i = 1; i < WRITES; i++) {
+            assertThat(put(leader, i, value + i).outcome()).isEqualTo(Store.Outcome.STORED);
+        }
+        start(lagging);
+        awaitEverywhere(WRITES, value + (WRITES - 1));
+        for (String member : addresses.keySet()) {
+            // The entries up to the limit, those kept for a member that lags, and a snapshot of one value.
+            assertThat(Files.size(directory.resolve(member + ".log"))).isLessThan(LIMITS.logBytes()
+                    + (ReplicatedStore.MAX_ENTRIES_PER_MESSAGE + 2) * LONG_VALUE_CHARACTERS);
+            stop(member);
+        }
+        for (String member : addresses.keySet()) {
+            start(member);
+        }
+        leader();
+        awaitEverywhere(WRITES, value + (WRITES - 1));
+    }
 }
