--- a/coordinator/src/main/java/burlford/servers/ReaderValue.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderValue.java
@@ -5,7 +5,9 @@
 import java.nio.CharBuffer;
 import java.nio.charset.StandardCharsets;
 
-/** The value in a reader's answer: UTF-8 text without NUL, which each frame that a reader may send has in its length. */
+/**
+ * The value in a reader's answer: UTF-8 text without NUL, which each frame that a reader may send has in its length.
+ */
 final class ReaderValue {
 
     private ReaderValue() { }
--- a/coordinator/src/main/java/burlford/store/LogFile.java
+++ b/coordinator/src/main/java/burlford/store/LogFile.java
@@ -26,10 +26,10 @@
 import java.util.logging.Logger;
 
 /**
- * A member's durable log: a file of records, whose payload is either a model as JSON or a removal of earlier records as
- * text. A crash can leave only the last record incomplete, and a record that was not synced was not acknowledged, so an
- * incomplete last record is truncated. A record damaged anywhere else may have been acknowledged, so the member does not
- * start. Of entries and snapshots only their positions in the file are kept in memory.
+ * A member's durable log: a file of records, whose payload is either a model as JSON or a removal of earlier records
+ * as text. A crash can leave only the last record incomplete, and a record that was not synced was not acknowledged, so
+ * an incomplete last record is truncated. A record damaged anywhere else may have been acknowledged, so the member does
+ * not start. Of entries and snapshots only their positions in the file are kept in memory.
  */
 final class LogFile implements RaftStore, AutoCloseable {
 
@@ -84,8 +84,8 @@
         try {
             complete = file.readAll(this::replay);
         } catch (DamagedRecordException e) {
-            throw new IOException(path + " is damaged at byte " + e.offset() + "; its records may have been acknowledged",
-                    e);
+            throw new IOException(path + " is damaged at byte " + e.offset()
+                    + "; its records may have been acknowledged", e);
         }
         if (!complete) {
             LOG.log(Level.WARNING, "{0}: truncated an incomplete record at byte {1}",
@@ -109,8 +109,9 @@
         if (model instanceof LogEntry e) {
             entries.put(e.getIndex(), position);
         } else if (model instanceof SnapshotChunk c) {
-            snapshots.computeIfAbsent(c.getIndex(), i -> new SnapshotRecords(c.getSnapshotChunkCount(), new TreeMap<>()))
-                    .chunks.put(c.getSnapshotChunkIndex(), position);
+            SnapshotRecords snapshot = snapshots.computeIfAbsent(c.getIndex(),
+                    i -> new SnapshotRecords(c.getSnapshotChunkCount(), new TreeMap<>()));
+            snapshot.chunks.put(c.getSnapshotChunkIndex(), position);
         } else if (model instanceof RaftTermPersistentState t) {
             term = t;
         } else if (model instanceof RaftGroupMembersView m) {
@@ -227,8 +228,8 @@
     }
 
     /**
-     * Drops the entries and the older snapshots that the newest snapshot replaces: copies the remaining records to a new
-     * file, which then replaces the old one atomically. If that fails, the old file stays in use.
+     * Drops the entries and the older snapshots that the newest snapshot replaces: copies the remaining records to a
+     * new file, which then replaces the old one atomically. If that fails, the old file stays in use.
      */
     @Override
     public void truncateLogEntriesUntil(long index) throws IOException {
--- a/coordinator/src/main/java/burlford/store/RecordFile.java
+++ b/coordinator/src/main/java/burlford/store/RecordFile.java
@@ -6,8 +6,8 @@
 import java.util.zip.CRC32C;
 
 /**
- * A file of records, each with a length, a checksum (CRC-32C) and a payload. It is read and written in pieces of a fixed
- * size, however long it is: the JDK takes a direct buffer as long as each piece, and those are limited.
+ * A file of records, each with a length, a checksum (CRC-32C) and a payload. It is read and written in pieces of a
+ * fixed size, however long it is: the JDK takes a direct buffer as long as each piece, and those are limited.
  */
 final class RecordFile implements AutoCloseable {
 
--- a/coordinator/src/main/java/burlford/store/ReplicatedStore.java
+++ b/coordinator/src/main/java/burlford/store/ReplicatedStore.java
@@ -187,14 +187,15 @@
         }
 
         /**
-         * Has a snapshot taken once the operations since the last one are too many bytes to keep. The node itself counts
-         * commits only, however long their operations are.
+         * Has a snapshot taken once the operations since the last one are too many bytes to keep. The node itself
+         * counts commits only, however long their operations are.
          */
         private void requestSnapshotIfDue(String operation) {
             bytesSinceSnapshot += (long) BYTES_PER_CHARACTER * operation.length();
             if (bytesSinceSnapshot >= limits.logBytes() && !snapshotRequested) {
                 snapshotRequested = true;
-                node.takeSnapshot().whenComplete((report, failure) -> runOnStoreThread(() -> snapshotRequested = false));
+                node.takeSnapshot().whenComplete(
+                        (report, failure) -> runOnStoreThread(() -> snapshotRequested = false));
             }
         }
 
--- a/coordinator/src/test/java/burlford/daemon/AnswerMatchingTest.java
+++ b/coordinator/src/test/java/burlford/daemon/AnswerMatchingTest.java
@@ -25,7 +25,7 @@
         assertThat(answers).extracting(a -> a.get(0)).containsExactly(FakeReader.value("q.0", expectedText));
     }
 
-    /** Guards against a client that gets the rows made for another's query, which had left and whose id it uses again. */
+    /** Guards against a client that gets the rows made for another client that had left and whose id it uses again. */
     @Test
     void answerToACancelledCallIsNotTakenForALaterCallOfItsId() throws Exception {
         start(1, s -> { });
--- a/coordinator/src/test/java/burlford/daemon/FakeReader.java
+++ b/coordinator/src/test/java/burlford/daemon/FakeReader.java
@@ -14,8 +14,8 @@
 
 /**
  * A stand-in reader that answers a part at once, unless its query's text says "hold": then once released, though the
- * part may have been cancelled. Its values name the part and the text. Counts parts that have two attempts out here or at
- * another of the same audit.
+ * part may have been cancelled. Its values name the part and the text. Counts parts that have two attempts out here or
+ * at another of the same audit.
  */
 final class FakeReader implements AutoCloseable {
 
--- a/coordinator/src/test/java/burlford/play/StoreFailoverTest.java
+++ b/coordinator/src/test/java/burlford/play/StoreFailoverTest.java
@@ -20,7 +20,8 @@
         try (StoreMembers members = new StoreMembers(directory, Map.of(), List.of("n1", "n2", "n3"))) {
             String leader = members.awaitLeader("");
             String other = members.otherThan(leader);
-            assertThat(members.put(other, "inventory", 0, "id,ansible_host,ansible_port,cell\nr1,127.0.0.1,9,0\n").body())
+            String inventory = "id,ansible_host,ansible_port,cell\nr1,127.0.0.1,9,0\n";
+            assertThat(members.put(other, "inventory", 0, inventory).body())
                     .isEqualTo("{\"key\":\"inventory\",\"version\":1}\n");
             for (CoordinatorProcess p : members.running().values()) {
                 p.awaitLog("store: inventory is at version 1");
--- a/coordinator/src/test/java/burlford/play/StoreMembers.java
+++ b/coordinator/src/test/java/burlford/play/StoreMembers.java
@@ -60,7 +60,8 @@
         }
         configuration.put("name", name).remove("discovery");
         running.put(name, CoordinatorProcess.serve(configuration, "store: {directory: '"
-                + Files.createDirectories(directory.resolve(name)) + "', members: {" + addresses + "}}\n", environment));
+                + Files.createDirectories(directory.resolve(name)) + "', members: {" + addresses + "}}\n",
+                environment));
     }
 
     /** Ends a member at once. */
@@ -122,8 +123,8 @@
     /** A new leader refuses writes until its term has begun for a majority: those are tried again. */
     HttpResponse<String> put(String name, String key, long from, String value) throws IOException,
             InterruptedException {
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + operatorPorts.get(name) + "/store/"
-                + key + "?from=" + from)).PUT(BodyPublishers.ofString(value)).build();
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + operatorPorts.get(name)
+                + "/store/" + key + "?from=" + from)).PUT(BodyPublishers.ofString(value)).build();
         long until = System.nanoTime() + CoordinatorProcess.TIMEOUT_MS * 1_000_000;
         HttpResponse<String> answer = send(request);
         while (answer.statusCode() == 503 && System.nanoTime() < until) {
--- a/coordinator/src/test/java/burlford/store/LogFileTest.java
+++ b/coordinator/src/test/java/burlford/store/LogFileTest.java
@@ -98,7 +98,8 @@
         }
         log.persistLogEntries(List.of(entry(5)));
         log.flush();
-        assertThat(Files.readString(path, StandardCharsets.ISO_8859_1)).contains("snapshot at 4").doesNotContain("snapshot at 3");
+        assertThat(Files.readString(path, StandardCharsets.ISO_8859_1)).contains("snapshot at 4")
+                .doesNotContain("snapshot at 3");
         assertThat(restoredIndexes()).containsExactly(5L);
         try (LogFile reopened = new LogFile(path)) {
             assertThat(reopened.restoredState().getSnapshotEntry().getIndex()).isEqualTo(4);
