--- a/coordinator/src/test/java/burlford/play/CoordinatorProcess.java
+++ b/coordinator/src/test/java/burlford/play/CoordinatorProcess.java
@@ -34,6 +34,20 @@
 
     /** descriptors: the limit that the system sets the process; 0: none of its own. */
     private CoordinatorProcess(int descriptors, Map<String, String> environment, String... args) throws IOException {
+        this(command(descriptors, args), environment, null);
+    }
+
+    private CoordinatorProcess(List<String> command, Map<String, String> environment, Path folder)
+            throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().putAll(environment);
+        builder.directory(folder == null ? null : folder.toFile());
+        process = builder.start();
+        read(process.getErrorStream(), err);
+        read(process.getInputStream(), out);
+    }
+
+    private static List<String> command(int descriptors, String... args) {
         List<String> command = new ArrayList<>();
         if (descriptors > 0) {
             command.addAll(List.of("sh", "-c", "ulimit -n " + descriptors + "; exec \"$0\" \"$@\""));
@@ -42,11 +56,17 @@
                 "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
                 "burlford.Main"));
         command.addAll(List.of(args));
-        ProcessBuilder builder = new ProcessBuilder(command);
-        builder.environment().putAll(environment);
-        process = builder.start();
-        read(process.getErrorStream(), err);
-        read(process.getInputStream(), out);
+        return command;
+    }
+
+    /** Serves with this configuration in a JVM sized for its memory limit, as {@code deploy/serve} starts it. */
+    static CoordinatorProcess serveDeployed(ObjectNode configuration) throws IOException {
+        Path file = temporaryFile(".json", new ObjectMapper().writeValueAsString(configuration));
+        CoordinatorProcess program = new CoordinatorProcess(
+                List.of("sh", Path.of("..", "deploy", "serve").toRealPath().toString()),
+                Map.of("PROXY_CONFIG", file.toString()), DeployedJar.folder());
+        program.file = file;
+        return program;
     }
 
     /** Serves with this configuration, and the operator's file if there is one. */
@@ -123,6 +143,26 @@
         Files.writeString(file, new ObjectMapper().writeValueAsString(configuration));
     }
 
+    /** The most memory that the process has held at once, in KiB. */
+    long peakMemoryKb() throws IOException {
+        return memoryKb("VmHWM");
+    }
+
+    /** The memory that the process holds, in KiB. */
+    long memoryKb() throws IOException {
+        return memoryKb("VmRSS");
+    }
+
+    private long memoryKb(String field) throws IOException {
+        Path status = Path.of("/proc", String.valueOf(process.pid()), "status");
+        String text = Files.exists(status) ? Files.readString(status) : "";
+        Matcher line = Pattern.compile("(?m)^" + field + ":\\s+([0-9]+) kB$").matcher(text);
+        if (!line.find()) {
+            throw new AssertionError("the process has ended:\n" + log());
+        }
+        return Long.parseLong(line.group(1));
+    }
+
     void signal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
     }
--- a/coordinator/src/test/java/burlford/play/PausedProcessTest.java
+++ b/coordinator/src/test/java/burlford/play/PausedProcessTest.java
@@ -5,7 +5,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executors;
@@ -27,6 +31,9 @@
     /** More than a request may take to come in. */
     private static final int SLOW_REQUEST_MS = 2_500;
     private static final int READ_MS = 100;
+    private static final int MUCH_BYTES = 16 << 20;
+    /** An event loop reads a connection 16 times in an iteration, 64 KB each time. */
+    private static final int MORE_THAN_ONE_ITERATION_READS = 1 << 20;
     private static final int DEADLINE_SLACK_MS = 150;
     /** For the threads of this test. */
     private static final int TOLERANCE_MS = 100;
@@ -154,4 +161,29 @@
         program.signal("CONT");
         assertThat(SoakClient.read(client).text()).doesNotContain("408");
     }
+
+    /** Guards against parts sent for a client that left with so much unread that its end was not reached. */
+    @Test
+    void nothingIsSentForAClientThatLeftWithMuchUnread() throws Exception {
+        connectAndAsk();
+        program.signal("STOP");
+        try (SocketChannel client = SocketChannel.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))) {
+            client.configureBlocking(false);
+            client.write(ByteBuffer.wrap(SoakClient.request("q", LONG_DEADLINE_MS, Audit.Effect.RETRYABLE)));
+            client.write(ByteBuffer.wrap(("POST /none HTTP/1.1\r\nContent-Length: " + MUCH_BYTES + "\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII)));
+            int unread = 0;
+            for (int n = 1; n > 0; unread += n) {
+                n = client.write(ByteBuffer.allocate(MUCH_BYTES));
+            }
+            assertThat(unread).isGreaterThan(MORE_THAN_ONE_ITERATION_READS);
+        }
+        Thread.sleep(PAUSE_BEHIND_END_MS);
+        program.signal("CONT");
+        Socket after = new Socket(InetAddress.getLoopbackAddress(), port);
+        clients.add(after);
+        SoakClient.write(after, "after", LONG_DEADLINE_MS, Audit.Effect.RETRYABLE);
+        assertThat(SoakClient.read(after).outcome()).isEqualTo(SoakClient.Outcome.ANSWERED);
+        assertThat(audit.attemptsOf("q")).as(program.log()).isEmpty();
+    }
 }
