Count and bound the memory that heads of requests take

Callers saw: the process ended by itself with OutOfMemoryError in its main thread while 600 clients sent heads of 1,900 two-byte fields and did not end them; with 50 clients that pipelined such heads, others got no answer.

Cause: a request was counted against the share of the heap by its body alone. A field of two bytes takes some 160 bytes as objects, so 8 KB of head took some 300 KB, in progress or waiting.

It works since nothing that a head takes is left uncounted, whatever its shape.

--- a/coordinator/src/main/java/burlford/clients/BodyBudget.java
+++ b/coordinator/src/main/java/burlford/clients/BodyBudget.java
@@ -17,7 +17,7 @@
 final class BodyBudget extends ChannelInboundHandlerAdapter {
 
     /** What a piece takes besides its bytes: a body may come a byte at a time. */
-    private static final int OVERHEAD = 128;
+    private static final int OVERHEAD = 256;
 
     /** The fault of a request whose body there was no room for. */
     static final class BodyBudgetExceededException extends Exception {
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -3,6 +3,7 @@
 import burlford.core.Timers;
 import burlford.net.BacklogAge;
 import burlford.net.ChannelReads;
+import burlford.policy.ConnectionRules;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -28,7 +29,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -52,10 +52,6 @@
 
     private static final Logger LOG = Logger.getLogger(HttpConnection.class.getName());
     public static final int MAX_BODY_BYTES = 64 * 1024;
-    /** Requests that may wait on one connection behind the one in work; those behind them are refused in turn. */
-    private static final int MOST_WAITING = 8;
-    /** With so many, all that wait are refused and no more are read: the connection ends behind them. */
-    private static final int MOST_HELD = 64;
     /** From connecting, or from a later request's first byte, to its last: guards against slow and silent clients. */
     private static final long REQUEST_TIME = 2_000_000;
     /** A connection without a request is closed after so long: some clients ask once and never close. */
@@ -99,10 +95,12 @@
     /** Nothing has come since the last byte of the last request. */
     private boolean clean = true;
     private final ChannelFutureListener onClose = f -> gone();
-    private final Decoder decoder = new Decoder();
+    private final RequestDecoder decoder = new RequestDecoder();
     /** Replies on their way into the socket. */
     private int unwritten;
     private int thrownAway;
+    /** Reserved for the request that is coming in, but for its body. */
+    private int reservedInputBytes;
     private long requests;
     /** When all that had come was read. */
     private long readAt;
@@ -134,6 +132,7 @@
             if (!ending && !flooded) {
                 arrived();
                 c.fireChannelRead(message);
+                accountForInput();
                 return;
             }
             // A body of 60 MB behind a 413, say, is not worth decoding.
@@ -151,18 +150,6 @@
         }
     }
 
-    private static final class Decoder extends HttpRequestDecoder {
-        /** The length would be dropped, and the body read otherwise than whoever passed it on to us read it. */
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
-        }
-
-        boolean holdsBytes() {
-            return actualReadableBytes() > 0;
-        }
-    }
-
     /** Collects whole requests; one that is too long comes through as a faulty one, to be answered in turn. */
     private static HttpObjectAggregator aggregator() {
         return new HttpObjectAggregator(MAX_BODY_BYTES) {
@@ -218,6 +205,8 @@
     }
 
     private void gone() {
+        connections.release(reservedInputBytes);
+        reservedInputBytes = 0;
         connections.closed(this);
         connections.timers().cancel(by);
     }
@@ -307,22 +296,49 @@
             // Chunks have been put together by now; any other coding may hide a request in the body.
             fault = new IllegalArgumentException("a Transfer-Encoding other than chunked");
         }
-        int size = r.content().readableBytes();
-        if (fault == null && !connections.tryReserve(size)) {
+        int size = r.content().readableBytes() + decoder.releaseHead();
+        boolean hasRoom = connections.tryReserve(size);
+        if (fault == null && !hasRoom) {
             fault = new BodyBudget.BodyBudgetExceededException();
         }
-        Exchange e = new Exchange(this, r.method(), r.uri(), r.headers().copy(), fault != null ? new byte[0]
-                : ByteBufUtil.getBytes(r.content()), arrivalTime(), fault, fault == null && HttpUtil.isKeepAlive(r));
-        e.reservedBytes = fault == null ? size : 0;
-        e.overQueueLimit = waiting.size() > MOST_WAITING;
+        Exchange e = new Exchange(this, r.method(), r.uri(), hasRoom ? r.headers() : EmptyHttpHeaders.INSTANCE,
+                fault != null ? new byte[0] : ByteBufUtil.getBytes(r.content()), arrivalTime(), fault,
+                fault == null && HttpUtil.isKeepAlive(r));
+        e.reservedBytes = hasRoom ? size : 0;
+        e.overQueueLimit = ConnectionRules.exceedsQueue(waiting.size());
         waiting.add(e);
-        if (waiting.size() >= MOST_HELD) {
+        if (ConnectionRules.isFlood(waiting.size())) {
             flooded = true;
             waiting.stream().skip(1).forEach(w -> w.overQueueLimit = true);
         }
         serveNext();
     }
 
+    /** Reserves the memory that the request in progress takes; where there is none left, refuses the request. */
+    private void accountForInput() {
+        int held = ending || flooded ? 0 : decoder.heldBytes();
+        int more = held - reservedInputBytes;
+        if (more > 0 && !connections.tryReserve(more)) {
+            refuseForMemory();
+            return;
+        }
+        if (more < 0) {
+            connections.release(-more);
+        }
+        reservedInputBytes = held;
+    }
+
+    /** The request in progress is refused in its turn, and nothing more is read of this connection. */
+    private void refuseForMemory() {
+        connections.release(reservedInputBytes);
+        reservedInputBytes = 0;
+        connections.timers().cancel(by);
+        flooded = true;
+        waiting.add(new Exchange(this, HttpMethod.POST, "", EmptyHttpHeaders.INSTANCE, new byte[0], connections.now(),
+                new BodyBudget.BodyBudgetExceededException(), false));
+        serveNext();
+    }
+
     private void serveNext() {
         // A loop, not a recursion: replies given at once come back here through reply().
         if (serving) {
--- a/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
+++ b/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
@@ -5,6 +5,7 @@
 import burlford.core.ClientLimits;
 import burlford.core.Counters;
 import burlford.core.Timers;
+import burlford.policy.ConnectionRules;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -23,6 +24,7 @@
     /** One connection, and one to be refused. */
     private static final int FEW_DESCRIPTORS = 2;
     private static final int MANY_DESCRIPTORS = 1024;
+    private static final int REQUEST_MEMORY_BYTES = 1 << 20;
 
     private final Timers deadlines = new Timers();
     private final Counters counters = new Counters();
@@ -49,7 +51,7 @@
     };
 
     private Connections connections(int descriptors) {
-        return new Connections(descriptors, ClientLimits.singleLane(1 << 20), counters, deadlines, () -> now);
+        return new Connections(descriptors, ClientLimits.singleLane(REQUEST_MEMORY_BYTES), counters, deadlines, () -> now);
     }
 
     private EmbeddedChannel client(Connections connections) {
@@ -115,4 +117,24 @@
         }
         assertThat(client.isOpen()).isTrue();
     }
+
+    /** Guards against heads of very many short fields, each of which takes far more memory than its bytes. */
+    @Test
+    void headOfTooManyFieldsIsRejected() {
+        EmbeddedChannel client = client(connections(MANY_DESCRIPTORS));
+        send(client, REQUEST.replace("\r\n\r\n", "\r\n" + "a:\r\n".repeat(ConnectionRules.MAX_HEADER_FIELDS) + "\r\n"));
+        assertThat(reply(client)).startsWith("HTTP/1.1 431 ").contains("connection: close");
+    }
+
+    /** Guards against heads that wait for their turn or for their rest without being counted. */
+    @Test
+    void memoryOfHeadsIsReservedUntilTheyAreAnswered() {
+        Connections connections = connections(MANY_DESCRIPTORS);
+        EmbeddedChannel client = client(connections);
+        send(client, "POST /api/a HTTP/1.1\r\n" + "a:\r\n".repeat(ConnectionRules.MAX_HEADER_FIELDS));
+        int held = ConnectionRules.MAX_HEADER_FIELDS * ConnectionRules.FIELD_OVERHEAD_BYTES;
+        assertThat(connections.tryReserve(REQUEST_MEMORY_BYTES - held)).isFalse();
+        client.close();
+        assertThat(connections.tryReserve(REQUEST_MEMORY_BYTES)).isTrue();
+    }
 }
--- a/coordinator/src/test/java/burlford/play/BadClientsTest.java
+++ b/coordinator/src/test/java/burlford/play/BadClientsTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -130,15 +131,14 @@
     /** Guards against requests that wait on few connections and whose heads use up the memory. */
     @Test
     void largeHeadsThatWaitOnFewConnectionsAreBounded() throws Exception {
-        readers.forEach(SoakReader::hang);
         String waiting = "GET /none HTTP/1.1\r\n" + "a:\r\n".repeat(SHORT_FIELDS) + "\r\n";
-        byte[] first = SoakClient.request("hangs", DEADLINE_MS, Audit.Effect.RETRYABLE);
-        try {
-            assertServes(bad -> bad.send(FEW, ascii(new String(first, StandardCharsets.US_ASCII)
-                    + waiting.repeat(PIPELINED))));
-        } finally {
-            readers.forEach(SoakReader::resume);
-        }
+        String first = new String(SoakClient.request("hangs", DEADLINE_MS, Audit.Effect.RETRYABLE),
+                StandardCharsets.US_ASCII);
+        assertServes(bad -> {
+            readers.forEach(SoakReader::hang);
+            bad.send(FEW, ascii(first + waiting.repeat(PIPELINED)));
+            timer.schedule(() -> readers.forEach(SoakReader::resume), DEADLINE_MS, TimeUnit.MILLISECONDS);
+        });
     }
 
     /** Guards against one client whose small requests on one connection hold up all others. */
