Copy what clients send out of the receive buffers at once

Callers saw: answers up to 4 s after their due time, or none, while 600 clients each sent a large request and then half a line of another.

Cause: a decoder kept the receive buffer, up to 64 KB outside the heap, for the few bytes at its end. Some 190 such clients used up the direct memory; from then on each read failed, after the JVM had stood still 0.5 s in the hope of some, and the connection was closed over its request.

Change: ClientInput copies what is read to the heap, where it is counted, and HeapCumulator keeps no more than what is undecoded. It works since no direct buffer outlives the read it was made for.

--- a/coordinator/src/main/java/burlford/clients/BodyBudget.java
+++ b/coordinator/src/main/java/burlford/clients/BodyBudget.java
@@ -10,9 +10,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * Keeps the bodies that are still coming in within a share of the heap. Held in the buffers they were read
- * into, 700 bodies sent all but for their last bytes used up the direct memory, and the event loop stood
- * still over each further read. What would go past the share ends as a request to be refused.
+ * Keeps the bodies that are still coming in within a share of the heap. Each piece is copied, since it may be a small
+ * part of the buffer that it was read into. What would go past the share ends as a request to be refused.
  */
 final class BodyBudget extends ChannelInboundHandlerAdapter {
 
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderResult;
@@ -56,9 +55,8 @@
     private static final long REQUEST_TIME = 2_000_000;
     /** A connection without a request is closed after so long: some clients ask once and never close. */
     private static final long REST_TIME = 5_000_000;
-    /** So long, and for so many bytes, what still comes in behind a last reply is read and thrown away. */
+    /** So long what still comes in behind a last reply is read and thrown away. */
     private static final long LEAVE_TIME = 1_000_000;
-    private static final int MOST_THROWN_AWAY = 1 << 18;
     /**
      * What was read this long ago still tells whether the client is there; an attempt may begin 0.1 s after its end.
      */
@@ -96,9 +94,9 @@
     private boolean clean = true;
     private final ChannelFutureListener onClose = f -> gone();
     private final RequestDecoder decoder = new RequestDecoder();
+    private final ClientInput input = new ClientInput(new InputOwner(), decoder);
     /** Replies on their way into the socket. */
     private int unwritten;
-    private int thrownAway;
     /** Reserved for the request that is coming in, but for its body. */
     private int reservedInputBytes;
     private long requests;
@@ -120,33 +118,36 @@
     public static ChannelHandler[] createHandlers(Front front, LongSupplier clock, BooleanSupplier leaving,
             Connections connections) {
         HttpConnection c = new HttpConnection(front, clock, leaving, connections);
-        return new ChannelHandler[] {c.new RawInboundHandler(), new HttpResponseEncoder(), c.decoder,
+        return new ChannelHandler[] {c.input, new HttpResponseEncoder(), c.decoder,
             new BodyBudget(connections), aggregator(), c};
     }
 
-    /** What comes in, before it is decoded. */
-    private final class RawInboundHandler extends ChannelInboundHandlerAdapter {
+    /** What the bytes that come in have to know of the connection, and the other way round. */
+    private final class InputOwner implements ClientInput.Owner {
         @Override
-        public void channelRead(ChannelHandlerContext c, Object message) {
+        public void onBytesArrived() {
             clean = false;
-            if (!ending && !flooded) {
-                arrived();
-                c.fireChannelRead(message);
-                accountForInput();
-                return;
-            }
-            // A body of 60 MB behind a 413, say, is not worth decoding.
-            thrownAway += ((ByteBuf) message).readableBytes();
-            ((ByteBuf) message).release();
-            if (ending && thrownAway > MOST_THROWN_AWAY) {
-                c.channel().config().setAutoRead(false);
-            }
+            arrived();
+        }
+
+        @Override
+        public boolean discardsInput() {
+            return ending || flooded;
+        }
+
+        @Override
+        public boolean isEnding() {
+            return ending;
+        }
+
+        @Override
+        public void onDecoded() {
+            accountForInput();
         }
 
         @Override
-        public void channelReadComplete(ChannelHandlerContext c) {
+        public void onReadComplete() {
             readAt = connections.now();
-            c.fireChannelReadComplete();
         }
     }
 
--- a/coordinator/src/main/java/burlford/clients/RequestDecoder.java
+++ b/coordinator/src/main/java/burlford/clients/RequestDecoder.java
@@ -21,6 +21,7 @@
     private RequestDecoder(FieldsFactory fields) {
         super(new HttpDecoderConfig().setHeadersFactory(fields).setTrailersFactory(fields));
         this.fields = fields;
+        setCumulator(new HeapCumulator());
     }
 
     /** The length would be dropped, and the body read otherwise than whoever passed it on to us read it. */
