Decode so many requests of a connection in a turn, and read no more until the next

Callers saw: while one client pipelined small requests on one connection at full speed, others got no answer in time.

Cause: all that one pass read of a connection (up to 1 MB, some 50,000 requests) was decoded and answered before the event loop went on to any other connection, timer or reader.

Change: requests are decoded one by one, 8 of a connection in a turn, one where all connections together have had 64 in the iteration; then reading pauses for a millisecond, so that the client is held up by its own socket. So it pauses too while a client does not take its replies, in place of holding 64 of its requests. ConnectionRules decides. It works since the time that a connection takes between two looks at all others no longer grows with what it sends.

--- a/coordinator/src/main/java/burlford/clients/ClientInput.java
+++ b/coordinator/src/main/java/burlford/clients/ClientInput.java
@@ -1,13 +1,17 @@
 package burlford.clients;
 
+import burlford.core.Timers;
+import burlford.policy.ConnectionRules;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.function.LongSupplier;
 
 /**
  * What a client sends, before it is decoded. It is copied to the heap at once, so that the memory outside the heap is
- * that of one read at a time, however many clients stop in the middle of a request.
+ * that of one read at a time, however many clients stop in the middle of a request. Requests are decoded one by one,
+ * so many in a turn as the rules allow; then nothing is read until the connection's next turn.
  */
 final class ClientInput extends ChannelInboundHandlerAdapter {
 
@@ -25,6 +29,12 @@
         /** Whether the last reply has been given. */
         boolean isEnding();
 
+        /** Whether another request may be decoded in this turn. decoded: how many have been. */
+        boolean mayDecode(int decoded);
+
+        /** Whether the client does not take its replies, so that there is no next turn until it does. */
+        boolean awaitsWritability();
+
         /** What has arrived has been decoded as far as it may be. */
         void onDecoded();
 
@@ -34,11 +44,32 @@
 
     private final Owner owner;
     private final RequestDecoder decoder;
+    private final Timers timers;
+    private final LongSupplier clock;
+    private ChannelHandlerContext context;
     private int discardedBytes;
+    /** Requests decoded in this turn. */
+    private int decoded;
+    /** The turn is over, and reading is off until the next one. */
+    private boolean paused;
+    private Timers.Timer nextTurn;
 
-    ClientInput(Owner owner, RequestDecoder decoder) {
+    ClientInput(Owner owner, RequestDecoder decoder, Timers timers, LongSupplier clock) {
         this.owner = owner;
         this.decoder = decoder;
+        this.timers = timers;
+        this.clock = clock;
+        decoder.setSingleDecode(true);
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext ctx) {
+        timers.cancel(nextTurn);
     }
 
     @Override
@@ -52,14 +83,54 @@
         ByteBuf copy = Unpooled.copiedBuffer(bytes);
         bytes.release();
         ctx.fireChannelRead(copy);
-        compact(ctx);
+        decodeOn();
         owner.onDecoded();
     }
 
-    /** Gives up the memory in front of the bytes that are left undecoded. */
-    private void compact(ChannelHandlerContext ctx) {
-        if (decoder.holdsBytes()) {
-            ctx.fireChannelRead(Unpooled.EMPTY_BUFFER);
+    /** Counts a request that has been decoded. */
+    void onRequestDecoded() {
+        decoded++;
+    }
+
+    boolean isPaused() {
+        return paused;
+    }
+
+    /** Has what is left undecoded decoded, a request at a time, as far as this turn allows. */
+    private void decodeOn() {
+        int before = Integer.MAX_VALUE;
+        while (decoder.undecodedBytes() > 0 && decoder.undecodedBytes() < before && !owner.discardsInput()) {
+            if (!paused && !owner.mayDecode(decoded)) {
+                pause();
+            }
+            if (paused) {
+                return;
+            }
+            before = decoder.undecodedBytes();
+            context.fireChannelRead(Unpooled.EMPTY_BUFFER);
+        }
+    }
+
+    private void pause() {
+        paused = true;
+        context.channel().config().setAutoRead(false);
+        if (!owner.awaitsWritability()) {
+            nextTurn = timers.schedule(clock.getAsLong() + ConnectionRules.TURN_PAUSE_US, this::resume);
+        }
+    }
+
+    /** Begins the connection's next turn, where the last one has ended. */
+    void resume() {
+        timers.cancel(nextTurn);
+        if (!paused || !context.channel().isActive()) {
+            return;
+        }
+        paused = false;
+        decoded = 0;
+        decodeOn();
+        owner.onDecoded();
+        if (!paused) {
+            context.channel().config().setAutoRead(true);
         }
     }
 
@@ -74,6 +145,9 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (!paused) {
+            decoded = 0;
+        }
         owner.onReadComplete();
         ctx.fireChannelReadComplete();
     }
--- a/coordinator/src/main/java/burlford/clients/Connections.java
+++ b/coordinator/src/main/java/burlford/clients/Connections.java
@@ -33,6 +33,8 @@
     private int toRefuse;
     private int open;
     private int unwritten;
+    /** Requests decoded since the event loop last ran its timers. */
+    private int decodedInIteration;
     /** Those with no request so far, those told that they end, and those between requests; each since when. */
     private final Map<HttpConnection, Long> silent = new LinkedHashMap<>();
     private final Map<HttpConnection, Long> resting = new LinkedHashMap<>();
@@ -186,6 +188,17 @@
         crowd.release(bytes);
     }
 
+    void onRequestDecoded() {
+        if (decodedInIteration == 0) {
+            timers.schedule(now(), () -> decodedInIteration = 0);
+        }
+        decodedInIteration++;
+    }
+
+    int decodedInIteration() {
+        return decodedInIteration;
+    }
+
     void onReplyStarted() {
         unwritten++;
     }
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -94,7 +94,7 @@
     private boolean clean = true;
     private final ChannelFutureListener onClose = f -> gone();
     private final RequestDecoder decoder = new RequestDecoder();
-    private final ClientInput input = new ClientInput(new InputOwner(), decoder);
+    private final ClientInput input;
     /** Replies on their way into the socket. */
     private int unwritten;
     /** Reserved for the request that is coming in, but for its body. */
@@ -112,6 +112,7 @@
         this.clock = clock;
         this.leaving = leaving;
         this.connections = connections;
+        this.input = new ClientInput(new InputOwner(), decoder, connections.timers(), connections::now);
     }
 
     /** What turns the bytes of a connection into requests, and the connection itself. */
@@ -140,6 +141,16 @@
             return ending;
         }
 
+        @Override
+        public boolean mayDecode(int decoded) {
+            return ConnectionRules.mayDecode(decoded, connections.decodedInIteration(), ctx.channel().isWritable());
+        }
+
+        @Override
+        public boolean awaitsWritability() {
+            return !ctx.channel().isWritable();
+        }
+
         @Override
         public void onDecoded() {
             accountForInput();
@@ -288,8 +299,10 @@
             return;
         }
         requests++;
+        input.onRequestDecoded();
+        connections.onRequestDecoded();
         begun = false;
-        clean = !decoder.holdsBytes();
+        clean = decoder.undecodedBytes() == 0;
         connections.timers().cancel(by);
         connections.markBusy(this);
         Throwable fault = r.decoderResult().isFailure() ? r.decoderResult().cause() : null;
@@ -468,6 +481,9 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext c) {
         serveNext();
+        if (c.channel().isWritable()) {
+            input.resume();
+        }
     }
 
     @Override
--- a/coordinator/src/main/java/burlford/clients/RequestDecoder.java
+++ b/coordinator/src/main/java/burlford/clients/RequestDecoder.java
@@ -39,9 +39,9 @@
         return super.createMessage(initialLine);
     }
 
-    /** Whether bytes of a further request have been read. */
-    boolean holdsBytes() {
-        return actualReadableBytes() > 0;
+    /** Bytes that have been read and not decoded. */
+    int undecodedBytes() {
+        return actualReadableBytes();
     }
 
     /** Bytes of the heap that the head of the request in progress takes, and what is not decoded of it. */
--- a/coordinator/src/main/java/burlford/policy/ConnectionRules.java
+++ b/coordinator/src/main/java/burlford/policy/ConnectionRules.java
@@ -14,6 +14,13 @@
     /** With so many, all that wait are refused and no more are read: the connection ends behind them. */
     private static final int MAX_HELD_REQUESTS = 64;
 
+    /** Requests that are decoded of one connection before the event loop goes on to the others. */
+    private static final int REQUESTS_PER_TURN = 8;
+    /** With so many decoded of all connections together, each further one has a single request decoded. */
+    private static final int REQUESTS_PER_TURN_OF_ALL = 64;
+    /** A connection that has had its turn is decoded on no sooner than this. */
+    public static final long TURN_PAUSE_US = 1_000;
+
     private ConnectionRules() { }
 
     /** Whether another field may be added to a head or trailer that has so many. */
@@ -30,4 +37,16 @@
     public static boolean isFlood(int heldRequests) {
         return heldRequests >= MAX_HELD_REQUESTS;
     }
+
+    /**
+     * Whether another request of a connection may be decoded in this turn.
+     *
+     * @param decoded requests of the connection that were decoded in this turn
+     * @param decodedOfAll the same of all connections of the event loop, in its iteration
+     * @param readsReplies whether the client has taken all its replies so far
+     */
+    public static boolean mayDecode(int decoded, int decodedOfAll, boolean readsReplies) {
+        int share = decodedOfAll < REQUESTS_PER_TURN_OF_ALL ? REQUESTS_PER_TURN : 1;
+        return readsReplies && decoded < share;
+    }
 }
