Free the memory of requests that are refused or not taken any more

Callers saw, on the way, at 96 MB: reads that failed with OutOfMemoryError and connections closed over their requests, while 600 clients stopped half way through large requests.

Cause: a request that was refused for want of memory gave its reservation back at once, but its bytes stayed with the decoder and the collector of bodies until the connection's end, a second later; and one read could add 64 KB before its connection could be stopped.

Change: the handlers that hold the bytes are taken out of the pipeline as soon as nothing more is taken of a connection; a read is 8 KB at most. It works since memory is given back when its reservation is.

--- a/coordinator/src/main/java/burlford/clients/ClientInput.java
+++ b/coordinator/src/main/java/burlford/clients/ClientInput.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpObjectAggregator;
 import java.util.function.LongSupplier;
 
 /**
@@ -53,6 +54,8 @@
     /** The turn is over, and reading is off until the next one. */
     private boolean paused;
     private Timers.Timer nextTurn;
+    /** Nothing is decoded any more. */
+    private boolean dropped;
 
     ClientInput(Owner owner, RequestDecoder decoder, Timers timers, LongSupplier clock) {
         this.owner = owner;
@@ -76,6 +79,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf bytes = (ByteBuf) message;
         if (owner.discardsInput()) {
+            dropUndecoded();
             discard(ctx, bytes);
             return;
         }
@@ -85,6 +89,27 @@
         ctx.fireChannelRead(copy);
         decodeOn();
         owner.onDecoded();
+        if (owner.discardsInput()) {
+            dropUndecoded();
+        }
+    }
+
+    /**
+     * Frees the memory of a request that is not taken any more, and reads on to see the client leave. Not to be called
+     * while a request is being decoded.
+     */
+    void dropUndecoded() {
+        if (dropped) {
+            return;
+        }
+        dropped = true;
+        paused = false;
+        timers.cancel(nextTurn);
+        // From the last to the first: what the decoder hands on at its removal must not be collected.
+        context.pipeline().remove(HttpObjectAggregator.class);
+        context.pipeline().remove(BodyBudget.class);
+        context.pipeline().remove(decoder);
+        context.channel().config().setAutoRead(true);
     }
 
     /** Counts a request that has been decoded. */
@@ -129,7 +154,9 @@
         decoded = 0;
         decodeOn();
         owner.onDecoded();
-        if (!paused) {
+        if (owner.discardsInput()) {
+            dropUndecoded();
+        } else if (!paused) {
             context.channel().config().setAutoRead(true);
         }
     }
--- a/coordinator/src/main/java/burlford/net/ChannelReads.java
+++ b/coordinator/src/main/java/burlford/net/ChannelReads.java
@@ -10,13 +10,17 @@
 
     /** Reads of one channel before the event loop goes on to the others; Netty's default. */
     private static final int MAX_READS_PER_ITERATION = 16;
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2048;
+    /** Bounds what one read adds to the memory before its connection can be stopped. */
+    private static final int MAX_READ_BYTES = 8192;
 
     /**
      * Receive allocator with which reading goes on until the socket is empty. Netty's default stops after a read that
      * did not fill its buffer, and the connection's end behind those bytes is then seen only in the next iteration.
      */
-    public static final RecvByteBufAllocator READ_UNTIL_EMPTY_ALLOCATOR = new AdaptiveRecvByteBufAllocator()
-            .respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_ITERATION);
+    public static final RecvByteBufAllocator READ_UNTIL_EMPTY_ALLOCATOR = new AdaptiveRecvByteBufAllocator(
+            MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES).respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_ITERATION);
 
     private ChannelReads() { }
 
