Reserve the memory of replies that clients do not take, and let the slowest make room

Callers saw: refusals and late answers, and a process past its memory limit, while clients asked without reading.

Cause: a reply that its client does not read stays in a buffer outside the heap, counted nowhere; requests behind it waited for ever, with no timer. And where memory was short, a new request was refused, however long others had held theirs without going on.

Change: what a client does not take at once is reserved from the same share as requests; where none is left, the connection that has been the slowest for over 0.1 s, with a reply or with a request, gives its memory up (closed as UNREAD, or refused). Requests behind an unread reply end after 5 s. It works since all memory that is held for a client's slowness is now in one budget, whose oldest holder pays.

--- a/coordinator/src/main/java/burlford/clients/CloseReason.java
+++ b/coordinator/src/main/java/burlford/clients/CloseReason.java
@@ -18,6 +18,8 @@
     FLOODED,
     /** Descriptors are scarce. */
     SCARCE,
+    /** The client does not take its replies. */
+    UNREAD,
     /** The process shuts down. */
     SHUTDOWN,
     /** The time for what may still come in behind a last reply is over. */
--- a/coordinator/src/main/java/burlford/clients/Connections.java
+++ b/coordinator/src/main/java/burlford/clients/Connections.java
@@ -4,6 +4,7 @@
 import burlford.core.Counters;
 import burlford.core.EventLog;
 import burlford.core.Timers;
+import burlford.policy.ConnectionRules;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -38,6 +39,8 @@
     /** Those with no request so far, those told that they end, and those between requests; each since when. */
     private final Map<HttpConnection, Long> silent = new LinkedHashMap<>();
     private final Map<HttpConnection, Long> resting = new LinkedHashMap<>();
+    /** Those that hold memory for a request that is not complete or a reply that is not taken; each since when. */
+    private final Map<HttpConnection, Long> holding = new LinkedHashMap<>();
 
     /** descriptors: all that the process may hold. crowd: the connections and requests of the whole process. */
     public Connections(int descriptors, ClientLimits crowd, Counters counters, Timers deadlines, LongSupplier clock) {
@@ -134,6 +137,7 @@
     void closed(HttpConnection c) {
         open--;
         crowd.closed();
+        holding.remove(c);
         markBusy(c);
     }
 
@@ -179,15 +183,51 @@
         return crowd.openCount() > most + toRefuse;
     }
 
-    /** Makes room for so many bytes of a request, if there is any. */
+    /** Reserves bytes without making room for them. */
     boolean tryReserve(int bytes) {
         return crowd.tryReserve(bytes);
     }
 
+    /** Reserves bytes for a connection; others that have held memory for long give theirs up for it. */
+    boolean tryReserve(HttpConnection c, int bytes) {
+        boolean reserved = crowd.tryReserve(bytes);
+        for (HttpConnection slow = slowest(c); !reserved && slow != null; slow = slowest(c)) {
+            holding.remove(slow);
+            slow.giveUpMemory();
+            reserved = crowd.tryReserve(bytes);
+        }
+        return reserved;
+    }
+
+    private HttpConnection slowest(HttpConnection except) {
+        for (Map.Entry<HttpConnection, Long> entry : holding.entrySet()) {
+            if (!ConnectionRules.mustGiveUpMemory(now() - entry.getValue())) {
+                return null;
+            }
+            if (entry.getKey() != except) {
+                return entry.getKey();
+            }
+        }
+        return null;
+    }
+
+    /** From now on it holds memory until its client goes on, if it did not before. */
+    void startHolding(HttpConnection c) {
+        holding.putIfAbsent(c, now());
+    }
+
+    void stopHolding(HttpConnection c) {
+        holding.remove(c);
+    }
+
     void release(int bytes) {
         crowd.release(bytes);
     }
 
+    void countMemoryGivenUp() {
+        counters.add("clients.connections.memory_given_up");
+    }
+
     void onRequestDecoded() {
         if (decodedInIteration == 0) {
             timers.schedule(now(), () -> decodedInIteration = 0);
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -148,7 +148,11 @@
 
         @Override
         public boolean awaitsWritability() {
-            return !ctx.channel().isWritable();
+            if (ctx.channel().isWritable()) {
+                return false;
+            }
+            awaitReading();
+            return true;
         }
 
         @Override
@@ -267,6 +271,7 @@
     private void arrived() {
         if (waiting.isEmpty() && !begun) {
             begun = true;
+            connections.startHolding(this);
             boolean rested = connections.isIdle(this);
             connections.markBusy(this); // not closed for another over a request that has begun
             if (rested) {
@@ -302,6 +307,9 @@
         input.onRequestDecoded();
         connections.onRequestDecoded();
         begun = false;
+        if (unwritten == 0) {
+            connections.stopHolding(this);
+        }
         clean = decoder.undecodedBytes() == 0;
         connections.timers().cancel(by);
         connections.markBusy(this);
@@ -311,7 +319,7 @@
             fault = new IllegalArgumentException("a Transfer-Encoding other than chunked");
         }
         int size = r.content().readableBytes() + decoder.releaseHead();
-        boolean hasRoom = connections.tryReserve(size);
+        boolean hasRoom = connections.tryReserve(this, size);
         if (fault == null && !hasRoom) {
             fault = new BodyBudget.BodyBudgetExceededException();
         }
@@ -332,7 +340,7 @@
     private void accountForInput() {
         int held = ending || flooded ? 0 : decoder.heldBytes();
         int more = held - reservedInputBytes;
-        if (more > 0 && !connections.tryReserve(more)) {
+        if (more > 0 && !connections.tryReserve(this, more)) {
             refuseForMemory();
             return;
         }
@@ -384,6 +392,9 @@
             }
         }
         serving = false;
+        if (!waiting.isEmpty() && !waiting.peek().inProgress && !ending) {
+            awaitReading();
+        }
     }
 
     /** A request that was read has to be answered, whatever goes wrong in the front. */
@@ -412,13 +423,7 @@
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ending = true;
         }
-        connections.onReplyStarted();
-        unwritten++;
-        ChannelFuture written = ctx.writeAndFlush(response);
-        written.addListener(f -> {
-            unwritten--;
-            connections.onReplyWritten();
-        });
+        ChannelFuture written = write(response, body.length);
         if (close) {
             if ((e.fault != null || flooded) && ctx.channel() instanceof DuplexChannel duplex) {
                 written.addListener(f -> leave(duplex));
@@ -433,6 +438,42 @@
         serveNext();
     }
 
+    /** Writes a reply. What the client does not take of it at once is memory that its connection holds. */
+    private ChannelFuture write(FullHttpResponse response, int bytes) {
+        connections.onReplyStarted();
+        unwritten++;
+        ChannelFuture written = ctx.writeAndFlush(response);
+        int reserved = !written.isDone() && connections.tryReserve(this, bytes) ? bytes : 0;
+        if (!written.isDone()) {
+            connections.startHolding(this);
+        }
+        written.addListener(f -> {
+            unwritten--;
+            connections.onReplyWritten();
+            connections.release(reserved);
+            if (unwritten == 0 && !begun) {
+                connections.stopHolding(this);
+            }
+        });
+        return written;
+    }
+
+    /** Another connection needs the memory that this one holds for what its client has not done for long. */
+    void giveUpMemory() {
+        connections.countMemoryGivenUp();
+        if (unwritten > 0) {
+            close(CloseReason.UNREAD);
+        } else {
+            refuseForMemory();
+            input.dropUndecoded();
+        }
+    }
+
+    /** Further requests wait until the client takes its replies, but not for ever. */
+    private void awaitReading() {
+        due(ConnectionRules.MAX_UNREAD_REPLY_US, () -> close(CloseReason.UNREAD));
+    }
+
     /** All that came is answered; but the next request may have begun behind it. */
     private void awaitNext() {
         if (clean) {
@@ -444,6 +485,7 @@
             });
         } else {
             begun = true;
+            connections.startHolding(this);
             due(REQUEST_TIME, this::tooSlow);
         }
     }
@@ -480,10 +522,15 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext c) {
-        serveNext();
-        if (c.channel().isWritable()) {
-            input.resume();
+        if (!c.channel().isWritable() || ending) {
+            return;
+        }
+        connections.timers().cancel(by);
+        if (waiting.isEmpty()) {
+            awaitNext();
         }
+        serveNext();
+        input.resume();
     }
 
     @Override
--- a/coordinator/src/main/java/burlford/policy/ConnectionRules.java
+++ b/coordinator/src/main/java/burlford/policy/ConnectionRules.java
@@ -21,6 +21,11 @@
     /** A connection that has had its turn is decoded on no sooner than this. */
     public static final long TURN_PAUSE_US = 1_000;
 
+    /** A client that goes on at all takes less to complete a request or to take a reply. */
+    private static final long PROMPT_US = 100_000;
+    /** So long a client may leave a reply unread that holds up its further requests. */
+    public static final long MAX_UNREAD_REPLY_US = 5_000_000;
+
     private ConnectionRules() { }
 
     /** Whether another field may be added to a head or trailer that has so many. */
@@ -49,4 +54,13 @@
         int share = decodedOfAll < REQUESTS_PER_TURN_OF_ALL ? REQUESTS_PER_TURN : 1;
         return readsReplies && decoded < share;
     }
+
+    /**
+     * Whether a connection has to give up its memory where there is none left for another one.
+     *
+     * @param heldForUs how long it has held memory for a request that is not complete or a reply that is not taken
+     */
+    public static boolean mustGiveUpMemory(long heldForUs) {
+        return heldForUs >= PROMPT_US;
+    }
 }
--- a/coordinator/src/test/java/burlford/play/BadClientsTest.java
+++ b/coordinator/src/test/java/burlford/play/BadClientsTest.java
@@ -128,6 +128,12 @@
         assertServes(bad -> bad.sendWithoutReading(CROWD, ascii("GET /counters HTTP/1.1\r\n\r\n".repeat(PIPELINED))));
     }
 
+    /** Guards against the same by fewer clients, each of which leaves more unread than the system holds for it. */
+    @Test
+    void unreadAnswersOfFewAreBounded() throws Exception {
+        assertServes(bad -> bad.sendWithoutReading(2 * FEW, ascii("GET /counters HTTP/1.1\r\n\r\n".repeat(PIPELINED))));
+    }
+
     /** Guards against requests that wait on few connections and whose heads use up the memory. */
     @Test
     void largeHeadsThatWaitOnFewConnectionsAreBounded() throws Exception {
