Send nothing for a client unless all that it sent has been read, to see it leave

Callers saw: requests of a client that had closed its connection were sent on, where much of what it had sent was still unread.

Cause: the last look at a client reads its connection 16 times at most and counted as fresh wherever it stopped; an end behind more than that, or on a connection just accepted, was not reached, and 'not seen to leave' passed for 'there'.

Change: a look counts only if it has emptied the connection, and reads on until it has; what is read ahead is kept up to 64 KB, behind that dropped as a flood. Where 16 MB do not reach the end, the client is UNKNOWN: policy.SendCheck withholds the part, and the query is refused, or failed where parts had been sent. It works since a part goes out only on positive knowledge.

--- a/coordinator/src/main/java/burlford/clients/ClientInput.java
+++ b/coordinator/src/main/java/burlford/clients/ClientInput.java
@@ -1,12 +1,14 @@
 package burlford.clients;
 
 import burlford.core.Timers;
+import burlford.net.ChannelReads;
 import burlford.policy.ConnectionRules;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import java.util.ArrayDeque;
 import java.util.function.LongSupplier;
 
 /**
@@ -18,6 +20,11 @@
 
     /** Bytes that are discarded behind a last reply; then nothing more is read. */
     private static final int MAX_DISCARDED_BYTES = 1 << 18;
+    private static final long NEVER = Long.MIN_VALUE / 2;
+    /** Bytes that may be kept to be decoded later. */
+    private static final int MAX_KEPT_BYTES = 1 << 16;
+    /** More than the systems of both sides hold of what a client sent before it left. */
+    private static final int MAX_BYTES_BEFORE_END = 16 << 20;
 
     /** The connection that the bytes are for. */
     interface Owner {
@@ -39,8 +46,8 @@
         /** What has arrived has been decoded as far as it may be. */
         void onDecoded();
 
-        /** All that had arrived has been read. */
-        void onReadComplete();
+        /** More is read ahead than may wait: nothing more of this connection is taken. */
+        void onFlood();
     }
 
     private final Owner owner;
@@ -54,6 +61,14 @@
     /** The turn is over, and reading is off until the next one. */
     private boolean paused;
     private Timers.Timer nextTurn;
+    /** Read ahead to see the end of the connection, and not decoded yet. */
+    private final ArrayDeque<ByteBuf> kept = new ArrayDeque<>();
+    private int keptBytes;
+    private boolean readingAhead;
+    private int readAheadBytes;
+    private int readsInIteration;
+    /** When all that had arrived had been read; NEVER on a connection that has not been read that far. */
+    private long emptiedAt = NEVER;
     /** Nothing is decoded any more. */
     private boolean dropped;
 
@@ -73,11 +88,14 @@
     @Override
     public void handlerRemoved(ChannelHandlerContext ctx) {
         timers.cancel(nextTurn);
+        releaseKept();
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf bytes = (ByteBuf) message;
+        readsInIteration++;
+        readAheadBytes += bytes.readableBytes();
         if (owner.discardsInput()) {
             dropUndecoded();
             discard(ctx, bytes);
@@ -86,8 +104,12 @@
         owner.onBytesArrived();
         ByteBuf copy = Unpooled.copiedBuffer(bytes);
         bytes.release();
-        ctx.fireChannelRead(copy);
-        decodeOn();
+        if (readingAhead || paused) {
+            keep(copy);
+        } else {
+            ctx.fireChannelRead(copy);
+            decodeOn();
+        }
         owner.onDecoded();
         if (owner.discardsInput()) {
             dropUndecoded();
@@ -105,6 +127,7 @@
         dropped = true;
         paused = false;
         timers.cancel(nextTurn);
+        releaseKept();
         // From the last to the first: what the decoder hands on at its removal must not be collected.
         context.pipeline().remove(HttpObjectAggregator.class);
         context.pipeline().remove(BodyBudget.class);
@@ -112,6 +135,53 @@
         context.channel().config().setAutoRead(true);
     }
 
+    /**
+     * Reads on until nothing more has arrived or the connection has ended. What is read is not decoded now.
+     *
+     * @return whether it came that far; not where more arrives than a client can have sent before it left
+     */
+    boolean readToEnd() {
+        long startedAt = clock.getAsLong();
+        readingAhead = true;
+        readAheadBytes = 0;
+        emptiedAt = startedAt - 1;
+        context.channel().config().setAutoRead(true);
+        while (context.channel().isActive() && emptiedAt < startedAt && readAheadBytes < MAX_BYTES_BEFORE_END) {
+            ChannelReads.readNow(context.channel());
+        }
+        readingAhead = false;
+        if (context.channel().isActive() && !dropped && (paused || !kept.isEmpty())) {
+            paused = false;
+            pause();
+        }
+        return !context.channel().isActive() || emptiedAt >= startedAt;
+    }
+
+    /** When all that had arrived had been read. */
+    long emptiedAt() {
+        return emptiedAt;
+    }
+
+    /** Bytes that are kept to be decoded later. */
+    int keptBytes() {
+        return keptBytes;
+    }
+
+    private void keep(ByteBuf bytes) {
+        keptBytes += bytes.readableBytes();
+        kept.add(bytes);
+        if (keptBytes > MAX_KEPT_BYTES) {
+            releaseKept();
+            owner.onFlood();
+        }
+    }
+
+    private void releaseKept() {
+        kept.forEach(ByteBuf::release);
+        kept.clear();
+        keptBytes = 0;
+    }
+
     /** Counts a request that has been decoded. */
     void onRequestDecoded() {
         decoded++;
@@ -153,6 +223,12 @@
         paused = false;
         decoded = 0;
         decodeOn();
+        while (!paused && !kept.isEmpty() && !owner.discardsInput()) {
+            ByteBuf next = kept.poll();
+            keptBytes -= next.readableBytes();
+            context.fireChannelRead(next);
+            decodeOn();
+        }
         owner.onDecoded();
         if (owner.discardsInput()) {
             dropUndecoded();
@@ -175,7 +251,10 @@
         if (!paused) {
             decoded = 0;
         }
-        owner.onReadComplete();
+        if (readsInIteration < ChannelReads.MAX_READS_PER_ITERATION && ctx.channel().config().isAutoRead()) {
+            emptiedAt = clock.getAsLong();
+        }
+        readsInIteration = 0;
         ctx.fireChannelReadComplete();
     }
 }
--- a/coordinator/src/main/java/burlford/clients/Exchange.java
+++ b/coordinator/src/main/java/burlford/clients/Exchange.java
@@ -1,5 +1,6 @@
 package burlford.clients;
 
+import burlford.policy.ClientPresence;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -59,9 +60,14 @@
         }
     }
 
-    /** Whether its client has not closed the connection, as of now or of a moment ago. */
-    public boolean isClientConnected() {
-        return connection.isConnected();
+    /** Whether its client is still there, as of now or of a moment ago. */
+    public ClientPresence clientPresence() {
+        return connection.clientPresence();
+    }
+
+    /** Whether its client is known to be there. */
+    boolean isClientConnected() {
+        return clientPresence() == ClientPresence.CONNECTED;
     }
 
     boolean isReplied() {
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -3,6 +3,7 @@
 import burlford.core.Timers;
 import burlford.net.BacklogAge;
 import burlford.net.ChannelReads;
+import burlford.policy.ClientPresence;
 import burlford.policy.ConnectionRules;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -100,8 +101,6 @@
     /** Reserved for the request that is coming in, but for its body. */
     private int reservedInputBytes;
     private long requests;
-    /** When all that had come was read. */
-    private long readAt;
     private long acceptedAt;
     /** Since when it may have waited in the listener's backlog. */
     private long waitingSince = NO_BACKLOG;
@@ -161,8 +160,8 @@
         }
 
         @Override
-        public void onReadComplete() {
-            readAt = connections.now();
+        public void onFlood() {
+            flood();
         }
     }
 
@@ -185,7 +184,6 @@
     public void handlerAdded(ChannelHandlerContext c) {
         ctx = c;
         acceptedAt = connections.now();
-        readAt = acceptedAt;
         Long backlog = c.channel().attr(BacklogAge.WAITING_SINCE).getAndSet(null);
         waitingSince = backlog == null ? NO_BACKLOG : backlog;
         c.channel().config().setRecvByteBufAllocator(ChannelReads.READ_UNTIL_EMPTY_ALLOCATOR);
@@ -199,12 +197,14 @@
         }
     }
 
-    /** Reads again where the last read is old: the client's end may have come since. */
-    boolean isConnected() {
-        if (connections.now() - readAt > READ_AGAIN_US) {
-            ChannelReads.readNow(ctx.channel());
+    /** Whether the client is there, by what had arrived a moment ago; reads on where the last look is older. */
+    ClientPresence clientPresence() {
+        boolean isRecent = connections.now() - input.emptiedAt() <= READ_AGAIN_US;
+        boolean isKnown = isRecent || input.readToEnd();
+        if (!ctx.channel().isActive()) {
+            return ClientPresence.LEFT;
         }
-        return ctx.channel().isActive();
+        return isKnown ? ClientPresence.CONNECTED : ClientPresence.UNKNOWN;
     }
 
     /** Since when what is read now may have waited for that. */
@@ -330,15 +330,20 @@
         e.overQueueLimit = ConnectionRules.exceedsQueue(waiting.size());
         waiting.add(e);
         if (ConnectionRules.isFlood(waiting.size())) {
-            flooded = true;
-            waiting.stream().skip(1).forEach(w -> w.overQueueLimit = true);
+            flood();
         }
         serveNext();
     }
 
+    /** Far more than may wait has come: all that waits is refused in its turn, and no more is taken. */
+    private void flood() {
+        flooded = true;
+        waiting.stream().skip(1).forEach(w -> w.overQueueLimit = true);
+    }
+
     /** Reserves the memory that the request in progress takes; where there is none left, refuses the request. */
     private void accountForInput() {
-        int held = ending || flooded ? 0 : decoder.heldBytes();
+        int held = ending || flooded ? 0 : decoder.heldBytes() + input.keptBytes();
         int more = held - reservedInputBytes;
         if (more > 0 && !connections.tryReserve(this, more)) {
             refuseForMemory();
--- a/coordinator/src/main/java/burlford/clients/PlatformFront.java
+++ b/coordinator/src/main/java/burlford/clients/PlatformFront.java
@@ -3,6 +3,7 @@
 import burlford.core.Client;
 import burlford.core.Coordinator;
 import burlford.core.Query;
+import burlford.policy.ClientPresence;
 import burlford.policy.Dispatcher;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -138,8 +139,8 @@
         }
 
         @Override
-        public boolean isConnected() {
-            return exchange.isClientConnected();
+        public ClientPresence presence() {
+            return exchange.clientPresence();
         }
 
         @Override
--- a/coordinator/src/main/java/burlford/core/Client.java
+++ b/coordinator/src/main/java/burlford/core/Client.java
@@ -1,5 +1,6 @@
 package burlford.core;
 
+import burlford.policy.ClientPresence;
 import java.util.Map;
 
 /**
@@ -17,8 +18,8 @@
     /** The query has failed. reason: text for the client. */
     void failed(String reason);
 
-    /** Whether the client has not closed its connection, as of now or of a moment ago. */
-    default boolean isConnected() {
-        return true;
+    /** Whether the client is still there, as of now or of a moment ago. */
+    default ClientPresence presence() {
+        return ClientPresence.CONNECTED;
     }
 }
--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -58,6 +58,8 @@
         final Map<Integer, String> values = new TreeMap<>();
         final Map<Long, Call> calls = new HashMap<>();
         Timers.Timer overdueTimer;
+        /** An attempt has been sent, or was about to be. */
+        boolean mayHaveRun;
         boolean ended;
 
         OpenQuery(long number, Query query, Client client, Dispatcher dispatcher, long submittedAt) {
@@ -620,12 +622,27 @@
                 ? Optional.of(SendCheck.WithholdReason.QUERY_OVER)
                 : SendCheck.reasonToWithhold(now(), attemptState(call, open));
         reason.ifPresent(r -> withhold(call, r));
-        return reason.isEmpty();
+        if (reason.isPresent()) {
+            return false;
+        }
+        open.mayHaveRun = true;
+        return true;
+    }
+
+    /** Ends a query for which nothing more may be sent: refused where nothing was, else failed. */
+    private void endForUnknownClient(long number) {
+        OpenQuery open = queries.get(number);
+        if (open == null || open.ended) {
+            return;
+        }
+        Dispatcher.Verdict verdict = open.mayHaveRun ? Dispatcher.Verdict.FAILED : Dispatcher.Verdict.REFUSED;
+        endQuery(open, new FinalAnswer(number, verdict, false, 0, Aggregator.Reason.CLIENT_UNKNOWN));
+        execute(open.dispatcher, open.dispatcher.report(now(), number));
     }
 
     private SendCheck.AttemptState attemptState(Call call, OpenQuery open) {
         return new SendCheck.AttemptState(call.waitsUntil, readerStatus(call),
-                open.dispatcher.tryBegin(now(), call.send), open.client.isConnected());
+                open.dispatcher.tryBegin(now(), call.send), open.client.presence());
     }
 
     private void withhold(Call call, SendCheck.WithholdReason reason) {
@@ -634,6 +651,8 @@
                 "reason:", reason);
         if (reason == SendCheck.WithholdReason.CLIENT_LEFT) {
             clientLeft(call.send.query());
+        } else if (reason == SendCheck.WithholdReason.CLIENT_UNKNOWN) {
+            endForUnknownClient(call.send.query());
         }
         if (!call.ended && (!call.handedToTransport || readerTransport.withdraw(call))) {
             callEnded(call, Outcome.MOOT, null, NO_LOAD_REPORT);
--- a/coordinator/src/main/java/burlford/net/ChannelReads.java
+++ b/coordinator/src/main/java/burlford/net/ChannelReads.java
@@ -9,7 +9,7 @@
 public final class ChannelReads {
 
     /** Reads of one channel before the event loop goes on to the others; Netty's default. */
-    private static final int MAX_READS_PER_ITERATION = 16;
+    public static final int MAX_READS_PER_ITERATION = 16;
     private static final int MIN_READ_BYTES = 64;
     private static final int FIRST_READ_BYTES = 2048;
     /** Bounds what one read adds to the memory before its connection can be stopped. */
--- a/coordinator/src/main/java/burlford/policy/Aggregator.java
+++ b/coordinator/src/main/java/burlford/policy/Aggregator.java
@@ -65,7 +65,9 @@
         /** Its deadline has come, or its aim where a later answer is worth nothing. */
         TIME_OVER,
         /** The process shuts down before the query's deadline. */
-        SHUTDOWN
+        SHUTDOWN,
+        /** Whether its client is still there cannot be told, so nothing more is sent for it. */
+        CLIENT_UNKNOWN
     }
 
     /**
--- a/coordinator/src/main/java/burlford/policy/SendCheck.java
+++ b/coordinator/src/main/java/burlford/policy/SendCheck.java
@@ -13,7 +13,7 @@
     private static final long MIN_TIME_LEFT_US = 1_000;
 
     /** Why an attempt that was decided is not sent. */
-    public enum WithholdReason { QUERY_OVER, TIME_OVER, READER_NOT_READY, REPEATED_TOO_LATE, CLIENT_LEFT }
+    public enum WithholdReason { QUERY_OVER, TIME_OVER, READER_NOT_READY, REPEATED_TOO_LATE, CLIENT_LEFT, CLIENT_UNKNOWN }
 
     /**
      * State of an attempt that is about to be sent.
@@ -21,9 +21,9 @@
      * @param deadline when the coordinator stops waiting for the attempt, in microseconds on the coordinator's clock
      * @param readerStatus status of its reader; GONE also if the reader has restarted since the decision
      * @param repeatAllowed whether it is the first attempt of its part, or the part may still be sent again now
-     * @param clientConnected whether the client of its query has not closed its connection
+     * @param client whether the client of its query is still there
      */
-    public record AttemptState(long deadline, Status readerStatus, boolean repeatAllowed, boolean clientConnected) { }
+    public record AttemptState(long deadline, Status readerStatus, boolean repeatAllowed, ClientPresence client) { }
 
     private SendCheck() { }
 
@@ -42,6 +42,10 @@
         if (!attempt.repeatAllowed()) {
             return Optional.of(WithholdReason.REPEATED_TOO_LATE);
         }
-        return attempt.clientConnected() ? Optional.empty() : Optional.of(WithholdReason.CLIENT_LEFT);
+        return switch (attempt.client()) {
+            case CONNECTED -> Optional.empty();
+            case LEFT -> Optional.of(WithholdReason.CLIENT_LEFT);
+            case UNKNOWN -> Optional.of(WithholdReason.CLIENT_UNKNOWN);
+        };
     }
 }
--- a/coordinator/src/main/java/burlford/search/SearchFront.java
+++ b/coordinator/src/main/java/burlford/search/SearchFront.java
@@ -7,6 +7,7 @@
 import burlford.core.Query;
 import burlford.core.ReaderEntry;
 import burlford.policy.Aggregator.Status;
+import burlford.policy.ClientPresence;
 import burlford.policy.Dispatcher;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -142,8 +143,8 @@
         }
 
         @Override
-        public boolean isConnected() {
-            return exchange.isClientConnected();
+        public ClientPresence presence() {
+            return exchange.clientPresence();
         }
 
         @Override
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsFixture.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsFixture.java
@@ -10,6 +10,7 @@
 import burlford.core.SingleLaneState;
 import burlford.policy.Aggregator.ListKind;
 import burlford.policy.Aggregator.Status;
+import burlford.policy.ClientPresence;
 import burlford.policy.Dispatcher;
 import burlford.servers.ReaderPool;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -52,7 +53,7 @@
     final List<Thread> threads = new ArrayList<>();
     String text = "e";
     /** Clients are found to be there when they are looked at. */
-    boolean waits = true;
+    ClientPresence presence = ClientPresence.CONNECTED;
     EventLoopDriver turns;
     Coordinator coordinator;
 
@@ -124,8 +125,8 @@
             }
 
             @Override
-            public boolean isConnected() {
-                return waits;
+            public ClientPresence presence() {
+                return presence;
             }
         });
     }
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsTest.java
@@ -5,6 +5,7 @@
 import burlford.core.ReaderEntry;
 import burlford.policy.Aggregator.ListKind;
 import burlford.policy.Aggregator.Status;
+import burlford.policy.ClientPresence;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
@@ -168,15 +169,31 @@
         held.release();
         letAnotherThrough();
         ask("q");
-        waits = false;
+        presence = ClientPresence.LEFT;
         turn();
-        waits = true;
+        presence = ClientPresence.CONNECTED;
         assertThat(coordinator.isIdle()).isTrue();
         assertThat(turns.counters.get("queries.left")).isEqualTo(1);
         letAnotherThrough();
         assertThat(audit.attempts.keySet()).containsExactly("after.0");
     }
 
+    /** Guards against parts sent for a client whose end cannot be reached behind all that it sends. */
+    @Test
+    void partsOfAClientOfWhichNothingIsKnownAreNotSent() throws Exception {
+        start(1, s -> { });
+        held.release();
+        letAnotherThrough();
+        ask("q");
+        presence = ClientPresence.UNKNOWN;
+        turn();
+        presence = ClientPresence.CONNECTED;
+        assertThat(coordinator.isIdle()).isTrue();
+        assertThat(ends).contains("refused");
+        letAnotherThrough();
+        assertThat(audit.attempts.keySet()).containsExactly("after.0");
+    }
+
     /** Queries with long texts, of which the last is not written: the reader does not read. */
     private List<Long> fillTheSocketOf(StalledReader reader) throws Exception {
         start(0, s -> {
