Refuse a query whose id may have run for a client that left or was not answered

Callers saw: an id ran twice when it came again after its client had left.

Cause: an id was free as soon as its query had ended, though its parts had been sent and may have run or be running; readers know parts by id and shard, so the second query runs them again.

Change: policy.QueryIdRules decides: an id whose parts were written, and that did not end in a whole answer, is retained; a query under it is refused with 503 and nothing is sent. An id that was answered whole, or of which nothing was written, is free as before (transcript same-id-twice unchanged). A restart forgets them.

AnswerMatchingTest uses ids again on purpose, to check that connections tell calls apart by themselves: it runs with a state that forgets ids at once, and its checks are as they were.

--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -10,6 +10,8 @@
 import burlford.policy.Dispatcher.FinalAnswer;
 import burlford.policy.Dispatcher.Send;
 import burlford.policy.PeerUpdate;
+import burlford.policy.QueryIdRules;
+import burlford.policy.QueryIdRules.IdState;
 import burlford.policy.SendCheck;
 import java.util.ArrayDeque;
 import java.util.Arrays;
@@ -18,6 +20,7 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -58,7 +61,7 @@
         final Map<Integer, String> values = new TreeMap<>();
         final Map<Long, Call> calls = new HashMap<>();
         Timers.Timer overdueTimer;
-        /** An attempt has been sent, or was about to be. */
+        /** The frame of an attempt has been written, at least in part. */
         boolean mayHaveRun;
         boolean ended;
 
@@ -207,25 +210,24 @@
      * Submits a query. The client is notified of the final answer, possibly before this method returns.
      *
      * @return the query's number for {@link #clientLeft}; 0 where a query with its id is open: then it is not
-     *     submitted, and the client is not notified
+     *     submitted, and the client is not notified. A query whose id is retained is refused
      */
     public long submit(Query submitted, Client client) {
         applyPendingUpdates();
         Query query = submitted.withDeadlineAtMost(answerAllBy);
-        if (!sharedState.claimId(query.id())) {
+        IdState idState = sharedState.claimId(query.id());
+        if (idState == IdState.OPEN) {
             return 0;
         }
         long number = sharedState.nextQueryNumber();
         counters.add("queries.taken");
+        if (idState == IdState.RETAINED) {
+            refuseUnsubmitted(query, client, "id_retained", 0);
+            return number;
+        }
         if (failed || !sharedState.tryAcquireCapacity(1 + query.parts().size(), site.maxOpen())) {
-            sharedState.releaseId(query.id());
-            counters.add("queries.refused.max_open");
-            counters.add("queries.refused");
-            events.log("query", query.id(), "refused: MAX_OPEN");
-            if (TRACE_ENABLED) {
-                trace("full query=%s class=%d parts=%d", query.id(), query.queryClass(), query.parts().size());
-            }
-            client.refused(site.retryAfter());
+            sharedState.releaseId(query.id(), false);
+            refuseUnsubmitted(query, client, "max_open", site.retryAfter());
             return number;
         }
         OpenQuery open = new OpenQuery(number, query, client, dispatcher, now());
@@ -240,6 +242,17 @@
         return number;
     }
 
+    /** Refuses a query that the module is not told of. reason: as counted. */
+    private void refuseUnsubmitted(Query query, Client client, String reason, long retryAfter) {
+        counters.add("queries.refused." + reason);
+        counters.add("queries.refused");
+        events.log("query", query.id(), "refused:", reason.toUpperCase(Locale.ROOT));
+        if (TRACE_ENABLED) {
+            trace("full query=%s class=%d parts=%d", query.id(), query.queryClass(), query.parts().size());
+        }
+        client.refused(retryAfter);
+    }
+
     /** The client of a query has disconnected and no longer waits for the answer. */
     public void clientLeft(long number) {
         applyPendingUpdates();
@@ -254,7 +267,7 @@
             trace("left query=%s class=%d left=%d values=%d out=%d", open.query.id(), open.query.queryClass(),
                     open.query.deadline() - now(), open.values.size(), open.calls.size());
         }
-        markEnded(open);
+        markEnded(open, false);
         execute(open.dispatcher, open.dispatcher.report(now(), number));
         endUnsentCalls(open, call -> true);
         removeIfFinished(open);
@@ -381,7 +394,7 @@
         for (OpenQuery open : List.copyOf(queries.values())) {
             if (!open.ended) {
                 counters.add("queries.abandoned");
-                markEnded(open);
+                markEnded(open, false);
                 runLoggingExceptions(() -> open.client.failed(reason));
             }
             for (Call call : List.copyOf(open.calls.values())) {
@@ -622,10 +635,19 @@
                 ? Optional.of(SendCheck.WithholdReason.QUERY_OVER)
                 : SendCheck.reasonToWithhold(now(), attemptState(call, open));
         reason.ifPresent(r -> withhold(call, r));
-        if (reason.isPresent()) {
+        return reason.isEmpty();
+    }
+
+    /**
+     * As {@link #passesSendCheck}, for a call whose frame is written next: from then on its part may run.
+     *
+     * @return whether the frame may be written; if not, the call has ended
+     */
+    public boolean tryBeginWrite(Call call) {
+        if (!passesSendCheck(call)) {
             return false;
         }
-        open.mayHaveRun = true;
+        queries.get(call.send.query()).mayHaveRun = true;
         return true;
     }
 
@@ -669,7 +691,7 @@
     }
 
     private void endQuery(OpenQuery open, FinalAnswer answer) {
-        markEnded(open);
+        markEnded(open, answer.verdict() == Dispatcher.Verdict.ANSWERED && answer.whole());
         String counter = "queries." + answer.verdict().name().toLowerCase();
         counters.add(counter);
         if (answer.reason() != null) {
@@ -695,9 +717,9 @@
         return (now() - open.submittedAt) / US_PER_MS;
     }
 
-    private void markEnded(OpenQuery open) {
+    private void markEnded(OpenQuery open, boolean answeredWhole) {
         open.ended = true;
-        sharedState.releaseId(open.query.id());
+        sharedState.releaseId(open.query.id(), QueryIdRules.mustRetain(open.mayHaveRun, answeredWhole));
         sharedState.releaseCapacity(1 + open.query.parts().size());
         timers.cancel(open.overdueTimer);
     }
--- a/coordinator/src/main/java/burlford/core/SharedState.java
+++ b/coordinator/src/main/java/burlford/core/SharedState.java
@@ -4,6 +4,7 @@
 import burlford.policy.Dispatcher.Part;
 import burlford.policy.Dispatcher.Send;
 import burlford.policy.PeerUpdate;
+import burlford.policy.QueryIdRules.IdState;
 import java.util.List;
 
 /**
@@ -18,11 +19,15 @@
      */
     void applyBroadcasts();
 
-    /** Claims the id of a query; false where a query with that id is open on any coordinator of the process. */
-    boolean claimId(String id);
+    /** Claims the id of a query if it is free on all coordinators of the process; returns what it was. */
+    IdState claimId(String id);
 
-    /** Releases an id that was claimed here, since its query has ended. */
-    void releaseId(String id);
+    /**
+     * Releases an id that was claimed here, since its query has ended.
+     *
+     * @param retained whether no other query may be taken under it
+     */
+    void releaseId(String id, boolean retained);
 
     /**
      * Acquires capacity for open queries and parts, all or nothing.
--- a/coordinator/src/main/java/burlford/core/SingleLaneState.java
+++ b/coordinator/src/main/java/burlford/core/SingleLaneState.java
@@ -4,6 +4,7 @@
 import burlford.policy.Dispatcher.Part;
 import burlford.policy.Dispatcher.Send;
 import burlford.policy.PeerUpdate;
+import burlford.policy.QueryIdRules.IdState;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -13,6 +14,7 @@
 public final class SingleLaneState implements SharedState {
 
     private final Set<String> openIds = new HashSet<>();
+    private final RetainedIds retainedIds = new RetainedIds();
     private int openUnits;
     private long lastQueryNumber;
     private final LongSupplier stallUs;
@@ -26,13 +28,19 @@
     public void applyBroadcasts() { }
 
     @Override
-    public boolean claimId(String id) {
-        return openIds.add(id);
+    public IdState claimId(String id) {
+        if (retainedIds.contains(id)) {
+            return IdState.RETAINED;
+        }
+        return openIds.add(id) ? IdState.FREE : IdState.OPEN;
     }
 
     @Override
-    public void releaseId(String id) {
+    public void releaseId(String id, boolean retained) {
         openIds.remove(id);
+        if (retained) {
+            retainedIds.add(id);
+        }
     }
 
     @Override
--- a/coordinator/src/main/java/burlford/lanes/LaneShare.java
+++ b/coordinator/src/main/java/burlford/lanes/LaneShare.java
@@ -7,6 +7,7 @@
 import burlford.policy.Dispatcher.Part;
 import burlford.policy.Dispatcher.Send;
 import burlford.policy.PeerUpdate;
+import burlford.policy.QueryIdRules.IdState;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -151,18 +152,18 @@
     // ---- ids, limits and probes of the process
 
     @Override
-    public boolean claimId(String id) {
-        if (!resources.ids.claim(id, this)) {
-            return false;
+    public IdState claimId(String id) {
+        IdState state = resources.ids.claim(id, this);
+        if (state == IdState.FREE) {
+            claimedIds.add(id);
         }
-        claimedIds.add(id);
-        return true;
+        return state;
     }
 
     @Override
-    public void releaseId(String id) {
+    public void releaseId(String id, boolean retained) {
         if (claimedIds.remove(id)) {
-            resources.ids.release(id, this);
+            resources.ids.release(id, this, retained);
         }
     }
 
@@ -391,7 +392,7 @@
     /** Releases everything that the lane still holds after it has ended, and disconnects it from the other lanes. */
     public void close() {
         resources.shares.remove(this);
-        List.copyOf(claimedIds).forEach(this::releaseId);
+        List.copyOf(claimedIds).forEach(id -> releaseId(id, true));
         resources.probes.releaseAll(this);
         claimedProbes.clear();
         releaseCapacity(openUnits);
--- a/coordinator/src/main/java/burlford/lanes/OpenIds.java
+++ b/coordinator/src/main/java/burlford/lanes/OpenIds.java
@@ -1,19 +1,32 @@
 package burlford.lanes;
 
+import burlford.core.RetainedIds;
+import burlford.policy.QueryIdRules.IdState;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** The ids of the queries open in the process, each with the lane that holds it. Thread-safe. */
+/** The ids that are not free in the process: of open queries, each with its lane, and retained ones. Thread-safe. */
 public final class OpenIds {
 
     private final ConcurrentHashMap<String, Object> laneById = new ConcurrentHashMap<>();
+    private final RetainedIds retainedIds = new RetainedIds();
 
-    /** Claims an id for a lane; false if a query with this id is already open on any lane. */
-    public boolean claim(String id, Object lane) {
-        return laneById.putIfAbsent(id, lane) == null;
+    /** Claims an id for a lane if it is free on all lanes; returns what it was. */
+    public IdState claim(String id, Object lane) {
+        if (laneById.putIfAbsent(id, lane) != null) {
+            return IdState.OPEN;
+        }
+        if (retainedIds.contains(id)) {
+            laneById.remove(id, lane);
+            return IdState.RETAINED;
+        }
+        return IdState.FREE;
     }
 
     /** Releases an id after its query has ended; no effect unless this lane holds the id. */
-    public void release(String id, Object lane) {
+    public void release(String id, Object lane, boolean retained) {
+        if (retained) {
+            retainedIds.add(id); // first, so that no other lane finds it free in between
+        }
         laneById.remove(id, lane);
     }
 
--- a/coordinator/src/main/java/burlford/servers/ReaderConnection.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderConnection.java
@@ -197,7 +197,7 @@
     private void write(InFlightCall inFlight) {
         long encodedAt = pool.now();
         ByteBuf frame = encode(inFlight.call, encodedAt);
-        if (!pool.coordinator().passesSendCheck(inFlight.call)) {
+        if (!pool.coordinator().tryBeginWrite(inFlight.call)) {
             frame.release();
             return;
         }
--- a/coordinator/src/test/java/burlford/daemon/AnswerMatchingTest.java
+++ b/coordinator/src/test/java/burlford/daemon/AnswerMatchingTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import burlford.core.SharedState;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.lang.reflect.Proxy;
 import org.junit.jupiter.api.Test;
 
 /** Answers of readers belong to a call, and part ids alone do not tell calls apart: clients may use an id again. */
@@ -12,6 +14,20 @@
     /** One that others wait on and the one that was opened for the id in use again. */
     private static final int MAX_CONNECTIONS = 2;
 
+    /** Forgets ids as soon as their queries have ended, as after very many others: connections must not rely on it. */
+    @Override
+    SharedState sharedState() {
+        SharedState state = super.sharedState();
+        return (SharedState) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {SharedState.class},
+                (proxy, method, arguments) -> {
+                    if (method.getName().equals("releaseId")) {
+                        state.releaseId((String) arguments[0], false);
+                        return null;
+                    }
+                    return method.invoke(state, arguments);
+                });
+    }
+
     private void askAndLeave(String id, String what) {
         int before = readers.get(0).heldCount();
         text = what;
--- a/coordinator/src/test/java/burlford/daemon/ReaderSocketsFixture.java
+++ b/coordinator/src/test/java/burlford/daemon/ReaderSocketsFixture.java
@@ -7,6 +7,7 @@
 import burlford.core.Query;
 import burlford.core.ReaderConnectionLimits;
 import burlford.core.ReaderEntry;
+import burlford.core.SharedState;
 import burlford.core.SingleLaneState;
 import burlford.policy.Aggregator.ListKind;
 import burlford.policy.Aggregator.Status;
@@ -78,7 +79,7 @@
         DaemonContext shared = new DaemonContext(Configuration.load(Map.of("PROXY_CONFIG", file.toString())), null);
         turns = new EventLoopDriver(Thread.currentThread(), shared.clock);
         coordinator = new Coordinator(shared.parsedConfiguration().site(),
-                Lane.createDispatcher(shared.parsedConfiguration(), 0, 1), new SingleLaneState(() -> 0),
+                Lane.createDispatcher(shared.parsedConfiguration(), 0, 1), sharedState(),
                 turns.timers, turns.counters, turns.clock);
         Bootstrap out = new Bootstrap().group(turns.loop).resolver(held).channelFactory(() -> {
             if (failures.getAndDecrement() > 0) {
@@ -96,6 +97,10 @@
         coordinator.updateReaders(ListKind.WHOLE, entries);
     }
 
+    SharedState sharedState() {
+        return new SingleLaneState(() -> 0);
+    }
+
     ReaderEntry entry(int i, Status status) {
         return new ReaderEntry("s" + i, "127.0.0.1", readers.get(i).port(), "", 0, status, 1, 0);
     }
--- a/coordinator/src/test/java/burlford/daemon/RepeatWindowTest.java
+++ b/coordinator/src/test/java/burlford/daemon/RepeatWindowTest.java
@@ -14,6 +14,7 @@
 import burlford.policy.Aggregator.ListKind;
 import burlford.policy.Aggregator.Outcome;
 import burlford.policy.Aggregator.Status;
+import burlford.policy.ClientPresence;
 import burlford.policy.Dispatcher;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -56,7 +57,7 @@
         c.updateReaders(ListKind.WHOLE, List.of(reader("s0"), reader("s1")));
         c.submit(new Query("q", 0, 0, 0, false, now + 4_000_000, new byte[0], List.of(new Dispatcher.Part(0, 1, 0, 0))),
                 (Client) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Client.class},
-                        (proxy, method, a) -> method.getReturnType() == boolean.class ? Boolean.TRUE : null));
+                        (proxy, method, a) -> method.getName().equals("presence") ? ClientPresence.CONNECTED : null));
         deadlines.runDue(now);
         return c;
     }
--- a/coordinator/src/test/java/burlford/lanes/LaneShareTest.java
+++ b/coordinator/src/test/java/burlford/lanes/LaneShareTest.java
@@ -4,6 +4,7 @@
 
 import burlford.policy.Aggregator.Outcome;
 import burlford.policy.PeerUpdate;
+import burlford.policy.QueryIdRules.IdState;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CyclicBarrier;
@@ -56,7 +57,7 @@
                         if (i % 100 == 0) {
                             barrier.await();
                         }
-                        if (lane.claimId("id-" + i)) {
+                        if (lane.claimId("id-" + i) == IdState.FREE) {
                             claims.incrementAndGet();
                             doubleClaims.addAndGet(holders[i].incrementAndGet() - 1);
                         }
@@ -78,6 +79,20 @@
         assertThat(resources.openIds()).isZero();
     }
 
+    /** Guards against an id that runs twice because its second query came to another lane, or the first lane failed. */
+    @Test
+    void idOfAQueryThatMayHaveRunIsFreeOnNoLane() {
+        assertThat(laneA.claimId("left")).isEqualTo(IdState.FREE);
+        assertThat(laneA.claimId("unsent")).isEqualTo(IdState.FREE);
+        assertThat(laneA.claimId("failed-over")).isEqualTo(IdState.FREE);
+        laneA.releaseId("left", true);
+        laneA.releaseId("unsent", false);
+        laneA.close();
+        assertThat(laneB.claimId("left")).isEqualTo(IdState.RETAINED);
+        assertThat(laneB.claimId("unsent")).isEqualTo(IdState.FREE);
+        assertThat(laneB.claimId("failed-over")).isEqualTo(IdState.RETAINED);
+    }
+
     /**
      * The threads of two lanes acquire and release capacity as fast as they can and end with units still held: the
      * limit is never exceeded, and no unit is lost.
--- a/coordinator/src/test/java/burlford/play/TranscriptTest.java
+++ b/coordinator/src/test/java/burlford/play/TranscriptTest.java
@@ -32,6 +32,7 @@
             "connections-that-break.txt",
             "discovery-changes.txt",
             "discovery-list-on-several-lines.txt",
+            "id-of-a-client-that-left.txt",
             "max-open.txt",
             "multiplex.txt",
             "same-id-twice.txt",
