Keep the event loop alive where one event finds no memory

Callers saw: a process ended by itself; everything it had taken was lost.

Cause: the event loop survived a RuntimeException of a timer, but no Error: one OutOfMemoryError ended the main thread, and with it the process. A request whose front found no memory was not answered, and its connection served nothing more (the 'serving' flag stayed set).

Change: EventLoopDriver counts such an error (faults.memory), has all connections give up what they hold for slow clients, logs it, and goes on; a request that finds no memory is answered 500; the flag is reset however serving ends. It works since the event that needed the memory is given up, and not the process.

--- a/coordinator/src/main/java/burlford/clients/Connections.java
+++ b/coordinator/src/main/java/burlford/clients/Connections.java
@@ -199,6 +199,14 @@
         return reserved;
     }
 
+    /** Has all connections give up what they hold for requests that are not complete and replies that are not taken. */
+    public void giveUpAllMemory() {
+        for (HttpConnection holder : List.copyOf(holding.keySet())) {
+            holding.remove(holder);
+            holder.giveUpMemory();
+        }
+    }
+
     private HttpConnection slowest(HttpConnection except) {
         for (Map.Entry<HttpConnection, Long> entry : holding.entrySet()) {
             if (!ConnectionRules.mustGiveUpMemory(now() - entry.getValue())) {
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -372,6 +372,17 @@
             return;
         }
         serving = true;
+        try {
+            serveWaiting();
+        } finally {
+            serving = false;
+        }
+        if (!waiting.isEmpty() && !waiting.peek().inProgress && !ending) {
+            awaitReading();
+        }
+    }
+
+    private void serveWaiting() {
         // Nor is anything served while the client does not read the replies that it has already.
         while (!waiting.isEmpty() && !ending && ctx.channel().isWritable()) {
             Exchange e = waiting.peek();
@@ -396,17 +407,13 @@
                 break;
             }
         }
-        serving = false;
-        if (!waiting.isEmpty() && !waiting.peek().inProgress && !ending) {
-            awaitReading();
-        }
     }
 
     /** A request that was read has to be answered, whatever goes wrong in the front. */
     private void serve(Exchange e) {
         try {
             front.serve(e);
-        } catch (RuntimeException fault) {
+        } catch (RuntimeException | VirtualMachineError fault) {
             LOG.log(Level.SEVERE, "a request failed", fault);
             front.reject(e, HttpResponseStatus.INTERNAL_SERVER_ERROR, "internal error");
         }
--- a/coordinator/src/main/java/burlford/daemon/EventLoopDriver.java
+++ b/coordinator/src/main/java/burlford/daemon/EventLoopDriver.java
@@ -38,6 +38,7 @@
     final Counters counters = new Counters();
     final LongSupplier clock;
     private final LongSupplier source;
+    private Runnable onMemoryShortage = () -> { };
     /** When this turn asked the network what had come, and how long it was ready to wait for that; 0: it was not. */
     private long polledAt;
     private long pollWait;
@@ -54,6 +55,7 @@
         this.source = clock;
         this.clock = this::now;
         this.previousPoll = now();
+        counters.add("faults.memory", 0); // so that counting it takes no memory
     }
 
     long now() {
@@ -106,17 +108,36 @@
         logLong();
     }
 
+    /** Sets the action that frees memory where there is none left. */
+    void onMemoryShortage(Runnable action) {
+        onMemoryShortage = action;
+    }
+
     private int poll() {
         firstLook = NEVER;
         polling = true;
         try {
             // A wait of nought would be one without end: what is due already must not wait for the network.
             return pollWait > 0 ? loop.run(TimeUnit.MICROSECONDS.toNanos(pollWait)) : loop.runNow();
+        } catch (VirtualMachineError e) {
+            survive(e);
+            return 1;
         } finally {
             polling = false;
         }
     }
 
+    /** One event cannot be handled for want of memory or stack: the process must not end for all the others. */
+    private void survive(VirtualMachineError error) {
+        counters.add("faults.memory");
+        try {
+            onMemoryShortage.run();
+            LOG.log(Level.SEVERE, "an event could not be handled", error);
+        } catch (VirtualMachineError again) {
+            counters.add("faults.memory");
+        }
+    }
+
     /**
      * When the poll told what had come, at the earliest. One that was interrupted tells nothing, though something came.
      */
@@ -130,6 +151,8 @@
     private void sweep() {
         try {
             timers.runDue(now());
+        } catch (VirtualMachineError e) {
+            survive(e);
         } catch (RuntimeException e) {
             // Of one query or peer, most likely: the others must not go down with it.
             counters.add("faults");
--- a/coordinator/src/main/java/burlford/daemon/Lane.java
+++ b/coordinator/src/main/java/burlford/daemon/Lane.java
@@ -51,6 +51,7 @@
         DaemonContext.ParsedConfiguration setup = shared.parsedConfiguration();
         connections = new Connections(setup.configuration().maxSockets(), crowd, turns.counters, turns.timers,
                 turns.clock);
+        turns.onMemoryShortage(connections::giveUpAllMemory);
         coordinator = new Coordinator(setup.site(), dispatcher, commons, turns.timers, turns.counters, turns.clock);
         outboundBootstrap = new Bootstrap().group(turns.loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
--- a/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
+++ b/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
@@ -36,6 +36,9 @@
             if (e.uri.equals("/fault")) {
                 throw new IllegalStateException("made by the test");
             }
+            if (e.uri.equals("/memory")) {
+                throw new OutOfMemoryError("made by the test");
+            }
             e.reply(HttpResponseStatus.OK, "text/plain", "served", Map.of());
         }
 
@@ -105,6 +108,16 @@
         assertThat(reply(client)).startsWith("HTTP/1.1 200 ");
     }
 
+    /** Guards against the same where there is no memory for the request. */
+    @Test
+    void requestIsAnsweredThoughThereIsNoMemoryForIt() {
+        EmbeddedChannel client = client(connections(MANY_DESCRIPTORS));
+        send(client, REQUEST.replace("/api/a", "/memory"));
+        assertThat(reply(client)).startsWith("HTTP/1.1 500 ");
+        send(client, REQUEST);
+        assertThat(reply(client)).startsWith("HTTP/1.1 200 ");
+    }
+
     /** A connection that rests is served again, and ends only when it has rested for long. */
     @Test
     void restingConnectionIsServedAgain() {
--- a/coordinator/src/test/java/burlford/daemon/EventLoopDriverTest.java
+++ b/coordinator/src/test/java/burlford/daemon/EventLoopDriverTest.java
@@ -88,4 +88,23 @@
         assertThat(bound.channel().isActive()).isTrue();
         bound.channel().close();
     }
+
+    /** Guards against a process that ends by itself because one event found no memory. */
+    @Test
+    void eventThatFindsNoMemoryDoesNotEndTheLoop() throws Exception {
+        EventLoopDriver driver = new EventLoopDriver(Thread.currentThread(), () -> now);
+        AtomicInteger freed = new AtomicInteger();
+        AtomicInteger handled = new AtomicInteger();
+        driver.onMemoryShortage(freed::incrementAndGet);
+        driver.timers.schedule(now, () -> {
+            throw new OutOfMemoryError("made by the test");
+        });
+        driver.timers.schedule(now, handled::incrementAndGet);
+        driver.runIteration();
+        driver.runIteration();
+        assertThat(freed).hasValue(1);
+        assertThat(handled).hasValue(1);
+        assertThat(driver.counters.get("faults.memory")).isEqualTo(1);
+        driver.loop.shutdownGracefully();
+    }
 }
