Remember no field names of clients' JSON

Callers saw: memory that grew under requests with ever new names.

Cause: the JSON parser keeps a table of the field names it has seen, and interns each in the JVM's own table, outside the heap.

Change: ClientJson, the parser of both fronts, neither interns nor canonicalizes names. It works since a name lives no longer than its request.

--- a/coordinator/src/main/java/burlford/clients/PlatformFront.java
+++ b/coordinator/src/main/java/burlford/clients/PlatformFront.java
@@ -34,7 +34,7 @@
     private final Coordinator coordinator;
     private final BooleanSupplier draining;
     private final Supplier<String> counters;
-    private final ObjectMapper json = new ObjectMapper();
+    private final ObjectMapper json = ClientJson.createMapper();
 
     /** counters: those of the process, a line each. */
     public PlatformFront(Coordinator coordinator, BooleanSupplier draining, Supplier<String> counters) {
--- a/coordinator/src/main/java/burlford/search/SearchFront.java
+++ b/coordinator/src/main/java/burlford/search/SearchFront.java
@@ -1,5 +1,6 @@
 package burlford.search;
 
+import burlford.clients.ClientJson;
 import burlford.clients.Exchange;
 import burlford.clients.HttpConnection;
 import burlford.core.Client;
@@ -35,7 +36,7 @@
     private final String name;
     private Map<String, Index> indices;
     private final BooleanSupplier draining;
-    private final ObjectMapper json = new ObjectMapper();
+    private final ObjectMapper json = ClientJson.createMapper();
     private final long idSalt;
     private long lastId;
 
