--- a/coordinator/src/main/java/burlford/clients/Connections.java
+++ b/coordinator/src/main/java/burlford/clients/Connections.java
@@ -3,6 +3,7 @@
 import burlford.core.ClientLimits;
 import burlford.core.Counters;
 import burlford.core.EventLog;
+import burlford.core.RuleViolations;
 import burlford.core.Timers;
 import burlford.policy.ConnectionRules;
 import java.util.ArrayList;
@@ -30,6 +31,7 @@
     private final ClientLimits crowd;
     private final Counters counters;
     private final EventLog events;
+    private final RuleViolations violations;
     private int most;
     private int toRefuse;
     private int open;
@@ -49,6 +51,7 @@
         this.timers = deadlines;
         this.clock = clock;
         this.events = new EventLog(Connections.class, clock);
+        this.violations = new RuleViolations(counters);
         setDescriptorLimit(descriptors);
     }
 
@@ -134,6 +137,10 @@
         counters.add("clients.connections.closed." + reason.name().toLowerCase(Locale.ROOT));
     }
 
+    void recordViolation(RuleViolations.Rule rule, Object client) {
+        violations.add(rule, client);
+    }
+
     void closed(HttpConnection c) {
         open--;
         crowd.closed();
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -1,5 +1,6 @@
 package burlford.clients;
 
+import burlford.core.RuleViolations;
 import burlford.core.Timers;
 import burlford.net.BacklogAge;
 import burlford.net.ChannelReads;
@@ -233,6 +234,9 @@
     }
 
     void close(CloseReason reason) {
+        if (!waiting.isEmpty() && reason != CloseReason.UNREAD) {
+            connections.recordViolation(RuleViolations.Rule.CLOSED_UNANSWERED, ctx.channel().remoteAddress());
+        }
         connections.recordClose(reason, ctx.channel().remoteAddress());
         ctx.close();
     }
@@ -455,14 +459,16 @@
         connections.onReplyStarted();
         unwritten++;
         ChannelFuture written = ctx.writeAndFlush(response);
-        int reserved = !written.isDone() && connections.tryReserve(this, bytes) ? bytes : 0;
+        int reserved = 0;
         if (!written.isDone()) {
             connections.startHolding(this);
+            reserved = reserveForReply(bytes);
         }
+        int held = reserved;
         written.addListener(f -> {
             unwritten--;
             connections.onReplyWritten();
-            connections.release(reserved);
+            connections.release(held);
             if (unwritten == 0 && !begun) {
                 connections.stopHolding(this);
             }
@@ -470,6 +476,14 @@
         return written;
     }
 
+    private int reserveForReply(int bytes) {
+        if (connections.tryReserve(this, bytes)) {
+            return bytes;
+        }
+        connections.recordViolation(RuleViolations.Rule.MEMORY_OVERDRAWN, ctx.channel().remoteAddress());
+        return 0;
+    }
+
     /** Another connection needs the memory that this one holds for what its client has not done for long. */
     void giveUpMemory() {
         connections.countMemoryGivenUp();
@@ -558,7 +572,8 @@
         // A client that goes, also in the middle of a request, is nothing to tell of.
         if (!(cause instanceof IOException || cause instanceof PrematureChannelClosureException)) {
             LOG.log(Level.WARNING, "client connection closed", cause);
-            connections.recordClose(CloseReason.FAULT, ctx.channel().remoteAddress());
+            close(CloseReason.FAULT);
+            return;
         }
         c.close();
     }
--- a/coordinator/src/main/java/burlford/core/Call.java
+++ b/coordinator/src/main/java/burlford/core/Call.java
@@ -17,6 +17,8 @@
     final long readerStartedAt;
     Timers.Timer timeout;
     boolean ended;
+    /** Its frame has been written, at least in part. */
+    boolean writeStarted;
     /** Passed to the transport; before that the call waits for the end of the event-loop iteration. */
     boolean handedToTransport;
 
--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -83,6 +83,7 @@
     private final Counters counters;
     private final LongSupplier clock;
     private final EventLog events;
+    private final RuleViolations violations;
     private final SharedState sharedState;
     private ReaderTransport readerTransport;
     private final Map<Long, OpenQuery> queries = new LinkedHashMap<>();
@@ -110,6 +111,7 @@
         this.counters = counters;
         this.clock = clock;
         this.events = new EventLog(Coordinator.class, clock);
+        this.violations = new RuleViolations(counters);
     }
 
     public void setReaderTransport(ReaderTransport transport) {
@@ -647,10 +649,24 @@
         if (!passesSendCheck(call)) {
             return false;
         }
-        queries.get(call.send.query()).mayHaveRun = true;
+        OpenQuery open = queries.get(call.send.query());
+        checkBeforeWrite(open, call);
+        open.mayHaveRun = true;
+        call.writeStarted = true;
         return true;
     }
 
+    private void checkBeforeWrite(OpenQuery open, Call call) {
+        if (open.ended) {
+            violations.add(RuleViolations.Rule.SENT_AFTER_END, call.partId);
+        }
+        for (Call other : open.calls.values()) {
+            if (other != call && other.shard == call.shard && other.writeStarted && !other.ended) {
+                violations.add(RuleViolations.Rule.TWO_ATTEMPTS_OUT, call.partId);
+            }
+        }
+    }
+
     /** Ends a query for which nothing more may be sent: refused where nothing was, else failed. */
     private void endForUnknownClient(long number) {
         OpenQuery open = queries.get(number);
@@ -691,6 +707,10 @@
     }
 
     private void endQuery(OpenQuery open, FinalAnswer answer) {
+        long dueAt = Math.max(open.query.deadline(), open.submittedAt);
+        if (now() > dueAt + RuleViolations.LATE_ANSWER_US) {
+            violations.add(RuleViolations.Rule.ANSWER_LATE, open.query.id());
+        }
         markEnded(open, answer.verdict() == Dispatcher.Verdict.ANSWERED && answer.whole());
         String counter = "queries." + answer.verdict().name().toLowerCase();
         counters.add(counter);
--- a/coordinator/src/test/java/burlford/daemon/EventLoopStallTest.java
+++ b/coordinator/src/test/java/burlford/daemon/EventLoopStallTest.java
@@ -15,6 +15,7 @@
 import burlford.policy.Aggregator.ListKind;
 import burlford.policy.Aggregator.Outcome;
 import burlford.policy.Aggregator.Status;
+import burlford.policy.ClientPresence;
 import burlford.policy.Dispatcher;
 import java.lang.reflect.Proxy;
 import java.util.ArrayList;
@@ -61,7 +62,7 @@
     private void ask(Coordinator c, String id) {
         c.submit(new Query(id, 1, 1, 0, false, now + 4_000_000, new byte[0], List.of(new Dispatcher.Part(0, 1, 0, 0))),
                 (Client) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Client.class},
-                        (proxy, method, a) -> method.getName().equals("isConnected") ? Boolean.TRUE : null));
+                        (proxy, method, a) -> method.getName().equals("presence") ? ClientPresence.CONNECTED : null));
         deadlines.runDue(now); // the end of the turn, at which calls go out
     }
 
--- a/coordinator/src/test/java/burlford/play/FaultSoakTest.java
+++ b/coordinator/src/test/java/burlford/play/FaultSoakTest.java
@@ -58,6 +58,7 @@
             readers.add(new SoakReader("s" + i, random.nextLong(), timer, audit));
         }
         List<Socket> idle = new ArrayList<>();
+        List<String> violations = new ArrayList<>();
         SoakDiscovery discovery = new SoakDiscovery(readers, audit);
         try (CoordinatorProcess program = CoordinatorProcess.serve(configuration(readers, discovery, plan), null)) {
             int port = program.port("platform");
@@ -81,6 +82,7 @@
             for (Thread t : threads) {
                 t.join();
             }
+            violations.addAll(violationsIn(program.log(), plan.pauseCount() > 0));
         } finally {
             timer.shutdownNow();
             discovery.close();
@@ -93,7 +95,14 @@
         }
         assertThat(audit.completedRequests()).as(plan.toString())
                 .anyMatch(e -> e.outcome() == SoakClient.Outcome.ANSWERED);
-        return audit.violations();
+        violations.addAll(audit.violations());
+        return violations;
+    }
+
+    /** What the process itself has found broken. A pause may make an answer late, which is not the process's fault. */
+    static List<String> violationsIn(String log, boolean paused) {
+        return log.lines().filter(line -> line.contains("rule violated"))
+                .filter(line -> !paused || !line.contains("ANSWER_LATE")).toList();
     }
 
     private static void signalAndKill(CoordinatorProcess program, FaultPlan plan) throws Exception {
