Bound the memory of readers' frames that do not end

A frame of up to 128 KB that does not end stayed for 250 ms in the receive buffers, outside the heap, on each connection, counted nowhere.

Evidence: PartialFrameTest#receiveBufferIsNotKeptForAFrameThatDoesNotEnd, on the heap cumulator that clients have; by reading, with it taken out the splitter keeps the buffer it is given. No process was run against such readers.

Change: HeapCumulator moves to net and serves readers too; PartialFrameBudget bounds such frames over all connections to an eighth of the heap, behind which a connection is left as for any frame that does not end (readers.frames.no_memory). Also, by reading: the 5 s for an unread reply do not run while a request of its connection is in progress, which they would have closed unanswered.

Measured: PartialFrameTest, ReaderSocketsTest, AnswerMatchingTest, UnreadReplyTest, HttpConnectionTest, BodyBudgetTest, ArchitectureTest and five tests of BadClientsTest pass.

--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -151,7 +151,9 @@
             if (ctx.channel().isWritable()) {
                 return false;
             }
-            awaitReading();
+            if (waiting.isEmpty()) {
+                awaitReading();
+            }
             return true;
         }
 
--- a/coordinator/src/main/java/burlford/clients/RequestDecoder.java
+++ b/coordinator/src/main/java/burlford/clients/RequestDecoder.java
@@ -1,5 +1,6 @@
 package burlford.clients;
 
+import burlford.net.HeapCumulator;
 import burlford.policy.ConnectionRules;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpDecoderConfig;
--- a/coordinator/src/main/java/burlford/clients/HeapCumulator.java
+++ b/coordinator/src/main/java/burlford/net/HeapCumulator.java
@@ -1,4 +1,4 @@
-package burlford.clients;
+package burlford.net;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -9,13 +9,13 @@
  * Joins what a decoder has left undecoded with what is read next, in a heap buffer that is as long as both. A receive
  * buffer that was kept for the few bytes at its end would take up to 64 KiB of the memory outside the heap.
  */
-final class HeapCumulator implements ByteToMessageDecoder.Cumulator {
+public final class HeapCumulator implements ByteToMessageDecoder.Cumulator {
 
     @Override
     public ByteBuf cumulate(ByteBufAllocator allocator, ByteBuf undecoded, ByteBuf input) {
         if (!undecoded.isReadable()) {
             undecoded.release();
-            return input;
+            return onHeap(input);
         }
         if (!input.isReadable() && !isWasteful(undecoded)) {
             input.release();
@@ -28,6 +28,15 @@
         return joined;
     }
 
+    private static ByteBuf onHeap(ByteBuf input) {
+        if (!input.isDirect()) {
+            return input;
+        }
+        ByteBuf copy = Unpooled.copiedBuffer(input);
+        input.release();
+        return copy;
+    }
+
     private static boolean isWasteful(ByteBuf buffer) {
         return buffer.readableBytes() < buffer.capacity() / 2;
     }
--- a/coordinator/src/main/java/burlford/servers/FrameSplitter.java
+++ b/coordinator/src/main/java/burlford/servers/FrameSplitter.java
@@ -1,5 +1,6 @@
 package burlford.servers;
 
+import burlford.net.HeapCumulator;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
@@ -15,6 +16,10 @@
 
     private byte[] impossibleFrame = {};
 
+    FrameSplitter() {
+        setCumulator(new HeapCumulator());
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (in.readableBytes() < Frame.LENGTH_BYTES) {
--- a/coordinator/src/main/java/burlford/servers/ReaderConnection.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderConnection.java
@@ -72,6 +72,8 @@
     private boolean draining;
     private Timers.Timer connectTimer;
     private Timers.Timer partialFrameTimer;
+    /** Reserved for the frame that has arrived in part. */
+    private int reservedFrameBytes;
     /** When data last arrived, or when waiting for data began. */
     private long silentSince;
     private Timers.Timer silenceTimer;
@@ -516,10 +518,20 @@
             pool.timers().cancel(partialFrameTimer);
             partialFrameTimer = null;
         }
+        accountForPartialFrame(closed ? 0 : partialFrameBytes);
         runPendingReports();
         updateIdleTimer();
     }
 
+    private void accountForPartialFrame(int bytes) {
+        if (pool.partialFrames().tryChange(reservedFrameBytes, bytes)) {
+            reservedFrameBytes = bytes;
+        } else {
+            pool.counters().add("readers.frames.no_memory");
+            failMalformed(null, "no memory for a frame that has not ended");
+        }
+    }
+
     private void runPendingReports() {
         for (Runnable next = pendingReports.poll(); next != null; next = pendingReports.poll()) {
             next.run();
@@ -594,6 +606,7 @@
             return;
         }
         closed = true;
+        accountForPartialFrame(0);
         cancelIdleTimer();
         pool.timers().cancel(connectTimer);
         pool.timers().cancel(partialFrameTimer);
--- a/coordinator/src/main/java/burlford/servers/ReaderPool.java
+++ b/coordinator/src/main/java/burlford/servers/ReaderPool.java
@@ -26,6 +26,8 @@
 
     /** For this long after a connection broke, each call gets a connection of its own. */
     private static final long ISOLATION_PERIOD_US = 10_000_000;
+    /** Of the heap this part is for frames that have not ended. */
+    private static final int PARTIAL_FRAMES_SHARE = 8;
 
     private final Bootstrap bootstrap;
     private final Coordinator coordinator;
@@ -34,6 +36,8 @@
     private final Map<String, List<ReaderConnection>> connections = new HashMap<>();
     private final IntSupplier isolationLimit;
     private final ReaderConnectionLimits connectionLimits;
+    private final PartialFrameBudget partialFrames =
+            new PartialFrameBudget(Runtime.getRuntime().maxMemory() / PARTIAL_FRAMES_SHARE);
     private long isolateUntil = Long.MIN_VALUE;
 
     /**
@@ -76,6 +80,10 @@
         }
     }
 
+    PartialFrameBudget partialFrames() {
+        return partialFrames;
+    }
+
     private List<ReaderConnection> connectionsTo(String reader) {
         return connections.getOrDefault(reader, List.of());
     }
