End the look for a client's end where its channel does not read

Cause: ClientInput.readToEnd went on until the connection was empty, ended or 16 MB had come; on a channel that reads nothing none of it happens, and the event loop would never come back. No way to it is known on real sockets; found on reading the change once more.

Change: the look ends as soon as a read does not take place, and the client is UNKNOWN, for whom nothing is sent. It works since each round now has to have read.

--- a/coordinator/src/main/java/burlford/clients/ClientInput.java
+++ b/coordinator/src/main/java/burlford/clients/ClientInput.java
@@ -67,6 +67,7 @@
     private boolean readingAhead;
     private int readAheadBytes;
     private int readsInIteration;
+    private long completedReads;
     /** When all that had arrived had been read; NEVER on a connection that has not been read that far. */
     private long emptiedAt = NEVER;
     /** Nothing is decoded any more. */
@@ -138,7 +139,8 @@
     /**
      * Reads on until nothing more has arrived or the connection has ended. What is read is not decoded now.
      *
-     * @return whether it came that far; not where more arrives than a client can have sent before it left
+     * @return whether it came that far; not where more arrives than a client can have sent before it left, nor where
+     *     the channel does not read
      */
     boolean readToEnd() {
         long startedAt = clock.getAsLong();
@@ -146,8 +148,12 @@
         readAheadBytes = 0;
         emptiedAt = startedAt - 1;
         context.channel().config().setAutoRead(true);
-        while (context.channel().isActive() && emptiedAt < startedAt && readAheadBytes < MAX_BYTES_BEFORE_END) {
+        boolean reads = true;
+        while (reads && context.channel().isActive() && emptiedAt < startedAt
+                && readAheadBytes < MAX_BYTES_BEFORE_END) {
+            long readsBefore = completedReads;
             ChannelReads.readNow(context.channel());
+            reads = completedReads > readsBefore;
         }
         readingAhead = false;
         if (context.channel().isActive() && !dropped && (paused || !kept.isEmpty())) {
@@ -187,10 +193,6 @@
         decoded++;
     }
 
-    boolean isPaused() {
-        return paused;
-    }
-
     /** Has what is left undecoded decoded, a request at a time, as far as this turn allows. */
     private void decodeOn() {
         int before = Integer.MAX_VALUE;
@@ -255,6 +257,7 @@
             emptiedAt = clock.getAsLong();
         }
         readsInIteration = 0;
+        completedReads++;
         ctx.fireChannelReadComplete();
     }
 }
--- a/coordinator/src/main/java/burlford/core/SharedState.java
+++ b/coordinator/src/main/java/burlford/core/SharedState.java
@@ -25,7 +25,7 @@
     /**
      * Releases an id that was claimed here, since its query has ended.
      *
-     * @param retainedUntil until when no other query may be taken under it; {@code QueryIdRules.NOT_RETAINED}: it is free
+     * @param retainedUntil until when no other query may be taken under it; {@code NOT_RETAINED}: it is free
      */
     void releaseId(String id, long retainedUntil);
 
--- a/coordinator/src/main/java/burlford/net/ChannelReads.java
+++ b/coordinator/src/main/java/burlford/net/ChannelReads.java
@@ -20,7 +20,8 @@
      * did not fill its buffer, and the connection's end behind those bytes is then seen only in the next iteration.
      */
     public static final RecvByteBufAllocator READ_UNTIL_EMPTY_ALLOCATOR = new AdaptiveRecvByteBufAllocator(
-            MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES).respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_ITERATION);
+            MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES).respectMaybeMoreData(false)
+            .maxMessagesPerRead(MAX_READS_PER_ITERATION);
 
     private ChannelReads() { }
 
--- a/coordinator/src/main/java/burlford/policy/SendCheck.java
+++ b/coordinator/src/main/java/burlford/policy/SendCheck.java
@@ -13,7 +13,9 @@
     private static final long MIN_TIME_LEFT_US = 1_000;
 
     /** Why an attempt that was decided is not sent. */
-    public enum WithholdReason { QUERY_OVER, TIME_OVER, READER_NOT_READY, REPEATED_TOO_LATE, CLIENT_LEFT, CLIENT_UNKNOWN }
+    public enum WithholdReason {
+        QUERY_OVER, TIME_OVER, READER_NOT_READY, REPEATED_TOO_LATE, CLIENT_LEFT, CLIENT_UNKNOWN
+    }
 
     /**
      * State of an attempt that is about to be sent.
--- a/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
+++ b/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
@@ -5,6 +5,7 @@
 import burlford.core.ClientLimits;
 import burlford.core.Counters;
 import burlford.core.Timers;
+import burlford.policy.ClientPresence;
 import burlford.policy.ConnectionRules;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -13,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** What ends a client's connection, and what must not. */
 class HttpConnectionTest {
@@ -29,10 +31,15 @@
     private final Timers deadlines = new Timers();
     private final Counters counters = new Counters();
     private long now;
+    private Exchange open;
 
     private final HttpConnection.Front front = new HttpConnection.Front() {
         @Override
         public void serve(Exchange e) {
+            if (e.uri.equals("/open")) {
+                open = e;
+                return;
+            }
             if (e.uri.equals("/fault")) {
                 throw new IllegalStateException("made by the test");
             }
@@ -54,7 +61,8 @@
     };
 
     private Connections connections(int descriptors) {
-        return new Connections(descriptors, ClientLimits.singleLane(REQUEST_MEMORY_BYTES), counters, deadlines, () -> now);
+        return new Connections(descriptors, ClientLimits.singleLane(REQUEST_MEMORY_BYTES), counters, deadlines,
+                () -> now);
     }
 
     private EmbeddedChannel client(Connections connections) {
@@ -150,4 +158,15 @@
         client.close();
         assertThat(connections.tryReserve(REQUEST_MEMORY_BYTES)).isTrue();
     }
+
+    /** Guards against an event loop that goes on for ever looking for the end of a channel that does not read. */
+    @Test
+    @Timeout(10)
+    void clientOfAChannelThatDoesNotReadIsUnknown() {
+        EmbeddedChannel client = client(connections(MANY_DESCRIPTORS));
+        send(client, REQUEST.replace("/api/a", "/open"));
+        assertThat(open.clientPresence()).isEqualTo(ClientPresence.CONNECTED);
+        now += OWED_TO_BAD_CLIENTS;
+        assertThat(open.clientPresence()).isEqualTo(ClientPresence.UNKNOWN);
+    }
 }
--- a/coordinator/src/test/java/burlford/play/BadClients.java
+++ b/coordinator/src/test/java/burlford/play/BadClients.java
@@ -53,7 +53,7 @@
         }
     }
 
-    /** One client that sends requests at full speed, a batch a write, and reads all replies; connects anew when closed. */
+    /** One client that sends requests at full speed, a batch a write, and reads all replies. */
     void flood(IntFunction<String> requests) {
         start(() -> {
             int number = 0;
