Answer 413 and 417 in turn and end the connection, also behind Expect

Callers saw: with Expect: 100-continue and a body that is too long (or with any other Expect, at any length) a request was told 413 (417), the connection stayed open, and its body was read as further requests. One that stood in it was served.

Cause: netty's HttpObjectAggregator writes these answers itself and has the decoder begin anew at the body's first byte. HttpConnection, which orders replies, ends connections and discards input, knew nothing of them.

Change: RequestAggregator, out of HttpConnection, writes nothing; what a head rules out comes through as a faulty request. Nothing behind a faulty request is decoded. 100 Continue is sent in turn, and not where the body is here already.

--- a/coordinator/src/main/java/burlford/clients/ClientInput.java
+++ b/coordinator/src/main/java/burlford/clients/ClientInput.java
@@ -7,7 +7,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import java.util.ArrayDeque;
 import java.util.function.LongSupplier;
 
@@ -130,7 +129,7 @@
         timers.cancel(nextTurn);
         releaseKept();
         // From the last to the first: what the decoder hands on at its removal must not be collected.
-        context.pipeline().remove(HttpObjectAggregator.class);
+        context.pipeline().remove(RequestAggregator.class);
         context.pipeline().remove(BodyBudget.class);
         context.pipeline().remove(decoder);
         context.channel().config().setAutoRead(true);
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -16,20 +16,15 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -88,14 +83,15 @@
     private boolean serving;
     private boolean ending;
     private boolean crowded;
-    /** The client sent far more requests at once than may wait. What still comes is thrown away, to see it leave. */
-    private boolean flooded;
+    /** No further request of this connection is taken. What still comes is thrown away, to see its client leave. */
+    private boolean inputClosed;
     /** Some bytes of a request have come, and not yet its last. */
     private boolean begun;
     /** Nothing has come since the last byte of the last request. */
     private boolean clean = true;
     private final ChannelFutureListener onClose = f -> gone();
     private final RequestDecoder decoder = new RequestDecoder();
+    private final RequestAggregator aggregator = new RequestAggregator(MAX_BODY_BYTES);
     private final ClientInput input;
     /** Replies on their way into the socket. */
     private int unwritten;
@@ -120,7 +116,7 @@
             Connections connections) {
         HttpConnection c = new HttpConnection(front, clock, leaving, connections);
         return new ChannelHandler[] {c.input, new HttpResponseEncoder(), c.decoder,
-            new BodyBudget(connections), aggregator(), c};
+            new BodyBudget(connections), c.aggregator, c};
     }
 
     /** What the bytes that come in have to know of the connection, and the other way round. */
@@ -133,7 +129,7 @@
 
         @Override
         public boolean discardsInput() {
-            return ending || flooded;
+            return ending || inputClosed;
         }
 
         @Override
@@ -160,6 +156,7 @@
         @Override
         public void onDecoded() {
             accountForInput();
+            sendContinueIfDue();
         }
 
         @Override
@@ -168,21 +165,6 @@
         }
     }
 
-    /** Collects whole requests; one that is too long comes through as a faulty one, to be answered in turn. */
-    private static HttpObjectAggregator aggregator() {
-        return new HttpObjectAggregator(MAX_BODY_BYTES) {
-            @Override
-            protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-                HttpRequest r = (HttpRequest) oversized;
-                FullHttpRequest stub = new DefaultFullHttpRequest(r.protocolVersion(), r.method(), r.uri(),
-                        Unpooled.EMPTY_BUFFER, r.headers(), r.headers());
-                stub.setDecoderResult(DecoderResult.failure(new TooLongFrameException("the body is longer than "
-                        + MAX_BODY_BYTES + " bytes")));
-                ctx.fireChannelRead(stub);
-            }
-        };
-    }
-
     @Override
     public void handlerAdded(ChannelHandlerContext c) {
         ctx = c;
@@ -306,7 +288,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext c, FullHttpRequest r) {
-        if (ending || flooded) {
+        if (ending || inputClosed) {
             return;
         }
         requests++;
@@ -335,6 +317,9 @@
         e.reservedBytes = hasRoom ? size : 0;
         e.overQueueLimit = ConnectionRules.exceedsQueue(waiting.size());
         waiting.add(e);
+        if (fault != null) {
+            inputClosed = true; // what follows is the rest of this request, or cannot be told from it
+        }
         if (ConnectionRules.isFlood(waiting.size())) {
             flood();
         }
@@ -343,13 +328,13 @@
 
     /** Far more than may wait has come: all that waits is refused in its turn, and no more is taken. */
     private void flood() {
-        flooded = true;
+        inputClosed = true;
         waiting.stream().skip(1).forEach(w -> w.overQueueLimit = true);
     }
 
     /** Reserves the memory that the request in progress takes; where there is none left, refuses the request. */
     private void accountForInput() {
-        int held = ending || flooded ? 0 : decoder.heldBytes() + input.keptBytes();
+        int held = ending || inputClosed ? 0 : decoder.heldBytes() + input.keptBytes();
         int more = held - reservedInputBytes;
         if (more > 0 && !connections.tryReserve(this, more)) {
             refuseForMemory();
@@ -366,12 +351,21 @@
         connections.release(reservedInputBytes);
         reservedInputBytes = 0;
         connections.timers().cancel(by);
-        flooded = true;
+        inputClosed = true;
         waiting.add(new Exchange(this, HttpMethod.POST, "", EmptyHttpHeaders.INSTANCE, new byte[0], connections.now(),
                 new BodyBudget.BodyBudgetExceededException(), false));
         serveNext();
     }
 
+    /** The client may wait for it with the body of the request that comes next, once all before it is answered. */
+    private void sendContinueIfDue() {
+        if (aggregator.isContinueExpected() && waiting.isEmpty() && !ending && !inputClosed) {
+            aggregator.onContinueSent();
+            ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+                    Unpooled.EMPTY_BUFFER));
+        }
+    }
+
     private void serveNext() {
         // A loop, not a recursion: replies given at once come back here through reply().
         if (serving) {
@@ -400,12 +394,8 @@
                 front.refuseOverloaded(e, "too many connections");
             } else if (e.overQueueLimit) {
                 front.refuseOverloaded(e, "too many requests on one connection");
-            } else if (e.fault instanceof TooLongFrameException) {
-                boolean body = e.method != HttpMethod.GET && String.valueOf(e.fault.getMessage()).contains("body");
-                front.reject(e, body ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
-                        : HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, e.fault.getMessage());
             } else if (e.fault != null) {
-                front.reject(e, HttpResponseStatus.BAD_REQUEST, "malformed HTTP: " + e.fault.getMessage());
+                rejectFaulty(e);
             } else {
                 serve(e);
             }
@@ -415,6 +405,16 @@
         }
     }
 
+    private void rejectFaulty(Exchange e) {
+        if (e.fault instanceof UnacceptableRequestException unacceptable) {
+            front.reject(e, unacceptable.status(), unacceptable.getMessage());
+        } else if (e.fault instanceof TooLongFrameException) {
+            front.reject(e, HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, e.fault.getMessage());
+        } else {
+            front.reject(e, HttpResponseStatus.BAD_REQUEST, "malformed HTTP: " + e.fault.getMessage());
+        }
+    }
+
     /** A request that was read has to be answered, whatever goes wrong in the front. */
     private void serve(Exchange e) {
         try {
@@ -429,7 +429,7 @@
         waiting.remove(e);
         release(e);
         // Clients that ask once and keep their connection came so fast that all room was taken by them.
-        boolean last = flooded && waiting.isEmpty();
+        boolean last = inputClosed && waiting.isEmpty();
         boolean close = !e.keepAlive || crowded || last || connections.isNearLimit() || leaving.getAsBoolean();
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 e.method.equals(HttpMethod.HEAD) ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
@@ -443,7 +443,7 @@
         }
         ChannelFuture written = write(response, body.length);
         if (close) {
-            if ((e.fault != null || flooded) && ctx.channel() instanceof DuplexChannel duplex) {
+            if ((e.fault != null || inputClosed) && ctx.channel() instanceof DuplexChannel duplex) {
                 written.addListener(f -> leave(duplex));
             } else {
                 written.addListener(ChannelFutureListener.CLOSE);
@@ -515,6 +515,7 @@
             begun = true;
             connections.startHolding(this);
             due(REQUEST_TIME, this::tooSlow);
+            sendContinueIfDue();
         }
     }
 
@@ -525,7 +526,7 @@
         if (!e.keepAlive) {
             return CloseReason.ASKED;
         }
-        if (flooded) {
+        if (inputClosed) {
             return CloseReason.FLOODED;
         }
         return leaving.getAsBoolean() ? CloseReason.SHUTDOWN : CloseReason.SCARCE;
--- a/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
+++ b/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
@@ -15,6 +15,8 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What ends a client's connection, and what must not. */
 class HttpConnectionTest {
@@ -32,6 +34,7 @@
     private final Counters counters = new Counters();
     private long now;
     private Exchange open;
+    private int served;
 
     private final HttpConnection.Front front = new HttpConnection.Front() {
         @Override
@@ -46,6 +49,7 @@
             if (e.uri.equals("/memory")) {
                 throw new OutOfMemoryError("made by the test");
             }
+            served++;
             e.reply(HttpResponseStatus.OK, "text/plain", "served", Map.of());
         }
 
@@ -169,4 +173,73 @@
         now += OWED_TO_BAD_CLIENTS;
         assertThat(open.clientPresence()).isEqualTo(ClientPresence.UNKNOWN);
     }
+
+    /** Guards against the body of a request that is answered by its head alone being read as further requests. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 60000000",
+        "HTTP/1.1\r\nContent-Length: 60000000",
+        "HTTP/1.1\r\nExpect: the best\r\nContent-Length: 40",
+        "HTTP/1.1\r\nExpect: the best\r\nTransfer-Encoding: chunked",
+        "HTTP/1.1\r\nTransfer-Encoding: gzip",
+        "HTTP/1.1\r\nTransfer-Encoding: chunked, gzip",
+        "HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+        "HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked",
+        "HTTP/1.0\r\nConnection: keep-alive\r\nContent-Length: 5\r\nTransfer-Encoding: chunked",
+        "HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked",
+        "HTTP/1.2\r\nContent-Length: 5\r\nTransfer-Encoding: chunked",
+        "HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: gzip",
+        "HTTP/2.0\r\nContent-Length: 5\r\nTransfer-Encoding: chunked"})
+    void bodyOfARequestThatItsHeadForbidsIsNotReadAsRequests(String head) {
+        EmbeddedChannel client = client(connections(MANY_DESCRIPTORS));
+        send(client, "POST /api/a " + head + "\r\n\r\n0\r\n\r\n" + REQUEST + REQUEST);
+        if (client.isOpen()) {
+            send(client, REQUEST);
+        }
+        assertThat(reply(client)).startsWith("HTTP/1.1 4").contains("connection: close")
+                .containsOnlyOnce("content-length: ");
+        assertThat(served).isZero();
+    }
+
+    /** Guards against an early answer that overtakes the answer to the request in front of it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Expect: 100-continue\r\nContent-Length: 60000000", "Expect: the best\r\nContent-Length: 40",
+        "Expect: 100-continue\r\nContent-Length: 40"})
+    void earlyAnswerWaitsForTheAnswersInFrontOfIt(String head) {
+        EmbeddedChannel client = client(connections(MANY_DESCRIPTORS));
+        send(client, REQUEST.replace("/api/a", "/open"));
+        send(client, "POST /api/a HTTP/1.1\r\n" + head + "\r\n\r\n");
+        assertThat(reply(client)).isEmpty();
+        open.reply(HttpResponseStatus.OK, "text/plain", "first", Map.of());
+        assertThat(reply(client)).startsWith("HTTP/1.1 200 ").containsPattern("first(?=HTTP/1.1 (100|413|417) )");
+    }
+
+    /** Guards against a body that nobody waits for and that takes the memory of other clients' requests. */
+    @Test
+    void bodyBehindAnEarlyAnswerThatWaitsTakesNoMemory() {
+        Connections connections = connections(MANY_DESCRIPTORS);
+        EmbeddedChannel client = client(connections);
+        send(client, REQUEST.replace("/api/a", "/open"));
+        send(client, "POST /api/a HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n");
+        for (int i = 0; i < REQUEST_MEMORY_BYTES / 2 / HttpConnection.MAX_BODY_BYTES; i++) {
+            send(client, " ".repeat(HttpConnection.MAX_BODY_BYTES));
+        }
+        assertThat(connections.tryReserve(REQUEST_MEMORY_BYTES * 9 / 10)).isTrue();
+        open.reply(HttpResponseStatus.OK, "text/plain", "first", Map.of());
+        assertThat(reply(client)).contains("firstHTTP/1.1 413 ");
+    }
+
+    /** A client that sends its body at once is not told to go on. */
+    @Test
+    void bodyThatIsHereIsNotAskedFor() {
+        EmbeddedChannel client = client(connections(MANY_DESCRIPTORS));
+        send(client, "POST /api/a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n{}");
+        assertThat(reply(client)).startsWith("HTTP/1.1 200 ");
+        send(client, "POST /api/a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+        assertThat(reply(client)).isEqualTo("HTTP/1.1 100 Continue\r\n\r\n");
+        send(client, "{");
+        assertThat(reply(client)).isEmpty();
+        send(client, "}");
+        assertThat(reply(client)).startsWith("HTTP/1.1 200 ");
+    }
 }
