Reject text that is not UTF-8 in place of changing it, wherever it comes in

Callers saw: a body in Latin-2, a lone surrogate or q=%d5rs was answered 200 for a text that nobody had sent; two different texts became one. A value in Latin-2 was stored changed, and a tenant named in UTF-8 was unknown.

Cause: text was converted with methods that replace what they cannot convert (the JSON library's reader without canonical field names, String.getBytes, new String, QueryStringDecoder), and heads were taken as Latin-1.

Change: core.Utf8 converts strictly; ClientJson.parseObject and RequestTarget use it for bodies and targets of all three HTTP ports, Exchange.headerTexts for headers. Halves of surrogate pairs are rejected in bodies, discovery's lists, inventories and writes to the store. The store's commands pass keys and values as they are.

--- a/coordinator/src/main/java/burlford/Main.java
+++ b/coordinator/src/main/java/burlford/Main.java
@@ -59,11 +59,11 @@
                 Files.writeString(to, Inventory.load(Path.of(args[2]), Inventory.MAX_CELLS)
                         .format(Inventory.isCsv(to)));
             } else if (command.equals("store status") && args.length == 3) {
-                return StoreCommand.get(args[2], "/store");
+                return StoreCommand.status(args[2]);
             } else if (command.equals("store get") && args.length == 4) {
-                return StoreCommand.get(args[2], "/store/" + args[3]);
+                return StoreCommand.get(args[2], args[3]);
             } else if (command.equals("store put") && args.length == 6) {
-                return StoreCommand.put(args[2], "/store/" + args[3] + "?from=" + args[4], Path.of(args[5]));
+                return StoreCommand.put(args[2], args[3], args[4], Path.of(args[5]));
             } else {
                 System.err.println(USAGE);
                 return 2;
--- a/coordinator/src/main/java/burlford/clients/Exchange.java
+++ b/coordinator/src/main/java/burlford/clients/Exchange.java
@@ -1,10 +1,13 @@
 package burlford.clients;
 
+import burlford.core.Utf8;
 import burlford.policy.ClientPresence;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 
 /** One request of an HTTP client and its one reply. */
@@ -53,6 +56,18 @@
         }
     }
 
+    /**
+     * The values of a header field, whose bytes are taken as UTF-8. Throws where they are not: taken in another
+     * encoding, they could stand for another name than the one that the client means.
+     */
+    public List<String> headerTexts(CharSequence name) throws Utf8.MalformedTextException {
+        List<String> texts = new ArrayList<>();
+        for (String value : headers.getAll(name)) {
+            texts.add(Utf8.decodeLatin1(value));
+        }
+        return texts;
+    }
+
     void clientDisconnected() {
         if (!replied && onLeft != null) {
             replied = true;
--- a/coordinator/src/main/java/burlford/clients/PlatformFront.java
+++ b/coordinator/src/main/java/burlford/clients/PlatformFront.java
@@ -3,16 +3,15 @@
 import burlford.core.Client;
 import burlford.core.Coordinator;
 import burlford.core.Query;
+import burlford.core.Utf8;
 import burlford.policy.ClientPresence;
 import burlford.policy.Dispatcher;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -183,7 +182,12 @@
     }
 
     private static String header(Exchange e, String name) throws InvalidRequestException {
-        List<String> values = e.headers.getAll(name);
+        List<String> values;
+        try {
+            values = e.headerTexts(name);
+        } catch (Utf8.MalformedTextException malformed) {
+            throw new InvalidRequestException("header " + name + " is " + malformed.getMessage());
+        }
         if (values.size() != 1 || values.get(0).isBlank()) {
             throw new InvalidRequestException("header " + name + (values.size() > 1 ? " is given more than once"
                     : " is missing"));
@@ -206,16 +210,10 @@
 
     private JsonNode body(byte[] bytes) throws InvalidRequestException {
         try {
-            JsonNode body = json.readTree(bytes);
-            if (body != null && body.isObject()) {
-                return body;
-            }
-        } catch (JsonProcessingException e) {
-            throw new InvalidRequestException("malformed JSON: " + e.getOriginalMessage());
-        } catch (IOException e) {
-            throw new InvalidRequestException("unreadable body: " + e.getMessage());
+            return ClientJson.parseObject(json, bytes);
+        } catch (InvalidJsonException e) {
+            throw new InvalidRequestException(e.getMessage());
         }
-        throw new InvalidRequestException("the body is not a JSON object");
     }
 
     private List<Dispatcher.Part> parts(JsonNode list, long key) throws InvalidRequestException {
--- a/coordinator/src/main/java/burlford/discovery/ReaderListParser.java
+++ b/coordinator/src/main/java/burlford/discovery/ReaderListParser.java
@@ -1,6 +1,7 @@
 package burlford.discovery;
 
 import burlford.core.ReaderEntry;
+import burlford.core.Utf8;
 import burlford.policy.Aggregator.Status;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.util.NetUtil;
@@ -39,6 +40,10 @@
 
     private static ReaderEntry parseMember(JsonNode member, int cells) throws MalformedListException {
         String id = member.path("id").asText("");
+        String zone = member.path("locality").asText("");
+        if (!Utf8.isWellFormed(id) || !Utf8.isWellFormed(zone)) {
+            throw new MalformedListException("a member's text has half of a surrogate pair: " + member);
+        }
         String address = member.path("host_port").asText("");
         Status status = switch (member.path("phase").asText("")) {
             case "Ready" -> Status.READY;
@@ -65,7 +70,7 @@
         if (status != Status.GONE && (member.path("cell").asLong() < 0 || member.path("cell").asLong() >= cells)) {
             throw new MalformedListException("member " + id + " has cell " + member.path("cell") + " of " + cells);
         }
-        return new ReaderEntry(id, reachable ? host : "", port, member.path("locality").asText(""),
+        return new ReaderEntry(id, reachable ? host : "", port, zone,
                 member.path("cell").asInt(), status, member.path("size").asDouble(1),
                 member.path("up_since_ms").asLong(0) * 1000);
     }
--- a/coordinator/src/main/java/burlford/inventory/Inventory.java
+++ b/coordinator/src/main/java/burlford/inventory/Inventory.java
@@ -1,6 +1,7 @@
 package burlford.inventory;
 
 import burlford.core.ReaderEntry;
+import burlford.core.Utf8;
 import burlford.policy.Aggregator.Status;
 import io.netty.util.NetUtil;
 import java.io.IOException;
@@ -116,6 +117,9 @@
             if (id.isBlank()) {
                 throw new InvalidInventoryException(line, "a host has no id");
             }
+            if (!Utf8.isWellFormed(id) || !variables.values().stream().allMatch(Utf8::isWellFormed)) {
+                throw new InvalidInventoryException(line, "a host has a text with half of a surrogate pair");
+            }
             Long earlierLine = lineById.putIfAbsent(id, line);
             if (earlierLine != null) {
                 throw new InvalidInventoryException(line, "duplicate id " + id + ", first on line " + earlierLine);
--- a/coordinator/src/main/java/burlford/search/SearchRequest.java
+++ b/coordinator/src/main/java/burlford/search/SearchRequest.java
@@ -1,15 +1,16 @@
 package burlford.search;
 
+import burlford.clients.ClientJson;
 import burlford.clients.Exchange;
+import burlford.clients.InvalidJsonException;
+import burlford.clients.RequestTarget;
 import burlford.core.Site;
-import com.fasterxml.jackson.core.JsonProcessingException;
+import burlford.core.Utf8;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.QueryStringDecoder;
-import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,28 +34,30 @@
         Map<String, String> parameters = new LinkedHashMap<>();
         boolean pretty = false;
         try {
-            QueryStringDecoder uri;
-            try {
-                uri = new QueryStringDecoder(e.uri);
-                for (Map.Entry<String, List<String>> p : uri.parameters().entrySet()) {
-                    if (p.getValue().size() > 1) {
-                        throw SearchRequestException.illegalArgument("parameter [" + p.getKey()
-                                + "] is given more than once");
-                    }
-                    parameters.put(p.getKey(), p.getValue().get(0));
+            RequestTarget target = target(e);
+            for (Map.Entry<String, List<String>> p : target.parameters().entrySet()) {
+                if (p.getValue().size() > 1) {
+                    throw SearchRequestException.illegalArgument("parameter [" + p.getKey()
+                            + "] is given more than once");
                 }
-                uri.path();
-            } catch (IllegalArgumentException x) {
-                throw SearchRequestException.illegalArgument("malformed URI: " + x.getMessage());
+                parameters.put(p.getKey(), p.getValue().get(0));
             }
             pretty = flag("pretty", parameters.get("pretty"), false);
-            return route(e, uri.path(), parameters, indices, site, json, pretty);
+            return route(e, target.path(), parameters, indices, site, json, pretty);
         } catch (SearchRequestException f) {
             f.pretty = pretty;
             throw f;
         }
     }
 
+    private static RequestTarget target(Exchange e) throws SearchRequestException {
+        try {
+            return RequestTarget.parse(e.uri);
+        } catch (RequestTarget.MalformedTargetException x) {
+            throw SearchRequestException.illegalArgument(x.getMessage());
+        }
+    }
+
     private static SearchRequest route(Exchange e, String path, Map<String, String> parameters,
             Map<String, Index> indices, Site site, ObjectMapper json, boolean pretty) throws SearchRequestException {
         if (path.equals("/") || path.equals("/_cluster/health")) {
@@ -128,16 +131,10 @@
                     "Content-Type header [" + type + "] is not supported");
         }
         try {
-            JsonNode body = json.readTree(e.body);
-            if (body != null && body.isObject()) {
-                return body;
-            }
-        } catch (JsonProcessingException x) {
-            throw SearchRequestException.parsingError("malformed JSON: " + x.getOriginalMessage());
-        } catch (IOException x) {
-            throw SearchRequestException.parsingError("unreadable body: " + x.getMessage());
+            return ClientJson.parseObject(json, e.body);
+        } catch (InvalidJsonException x) {
+            throw SearchRequestException.parsingError(x.getMessage());
         }
-        throw SearchRequestException.parsingError("the body is not a JSON object");
     }
 
     /** From the URL or else the body; both at once must agree. */
@@ -192,7 +189,7 @@
         if (index.tenantHeader() == null) {
             return index.tenant();
         }
-        String name = e.headers.get(index.tenantHeader(), "");
+        String name = header(e, index.tenantHeader(), "");
         int tenant = site.tenants().indexOf(name);
         if (tenant < 0) {
             throw SearchRequestException.illegalArgument("header [" + index.tenantHeader()
@@ -201,6 +198,15 @@
         return tenant;
     }
 
+    private static String header(Exchange e, String name, String absent) throws SearchRequestException {
+        try {
+            List<String> values = e.headerTexts(name);
+            return values.isEmpty() ? absent : values.get(0);
+        } catch (Utf8.MalformedTextException x) {
+            throw SearchRequestException.illegalArgument("header [" + name + "] is " + x.getMessage());
+        }
+    }
+
     /** The query's text: q, or a query_string query. Readers get it unchanged. */
     private static String text(Map<String, String> parameters, JsonNode body) throws SearchRequestException {
         JsonNode query = body.get("query");
@@ -220,7 +226,7 @@
 
     private static long waitMs(Exchange e, Index index, String timeout) throws SearchRequestException {
         long wait = index.deadlineMs();
-        String header = index.deadlineHeader() == null ? null : e.headers.get(index.deadlineHeader());
+        String header = index.deadlineHeader() == null ? null : header(e, index.deadlineHeader(), null);
         if (header != null) {
             wait = Math.min(wait, count(index.deadlineHeader(), header, 0));
         }
--- a/coordinator/src/main/java/burlford/store/ReplicatedStore.java
+++ b/coordinator/src/main/java/burlford/store/ReplicatedStore.java
@@ -1,6 +1,7 @@
 package burlford.store;
 
 import burlford.core.Timers;
+import burlford.core.Utf8;
 import io.microraft.Ordered;
 import io.microraft.RaftConfig;
 import io.microraft.RaftEndpoint;
@@ -94,6 +95,11 @@
 
     @Override
     public void put(String key, long expectedVersion, String value, Consumer<WriteResult> done) {
+        if (!Utf8.isWellFormed(key) || !Utf8.isWellFormed(value)) {
+            // It could be neither logged nor sent.
+            done.accept(new WriteResult(Outcome.REFUSED, 0, "a text with half of a surrogate pair"));
+            return;
+        }
         boolean[] notified = new boolean[1];
         Consumer<WriteResult> once = w -> {
             if (!notified[0]) {
--- a/coordinator/src/main/java/burlford/store/StoreCommand.java
+++ b/coordinator/src/main/java/burlford/store/StoreCommand.java
@@ -2,11 +2,13 @@
 
 import java.io.IOException;
 import java.net.URI;
+import java.net.URLEncoder;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
 
@@ -17,12 +19,24 @@
 
     private StoreCommand() { }
 
-    public static int get(String address, String path) throws IOException {
-        return send(request(address, path).GET());
+    /** Prints who leads, and the version of each key. */
+    public static int status(String address) throws IOException {
+        return send(request(address, "/store").GET());
     }
 
-    public static int put(String address, String path, Path file) throws IOException {
-        return send(request(address, path).PUT(BodyPublishers.ofFile(file)));
+    /** Prints the value of a key. */
+    public static int get(String address, String key) throws IOException {
+        return send(request(address, path(key)).GET());
+    }
+
+    /** Writes the file's bytes as the value of a key that is at this version. */
+    public static int put(String address, String key, String version, Path file) throws IOException {
+        return send(request(address, path(key) + "?from=" + URLEncoder.encode(version, StandardCharsets.UTF_8))
+                .PUT(BodyPublishers.ofFile(file)));
+    }
+
+    private static String path(String key) {
+        return "/store/" + URLEncoder.encode(key, StandardCharsets.UTF_8).replace("+", "%20");
     }
 
     private static HttpRequest.Builder request(String address, String path) throws IOException {
@@ -37,9 +51,10 @@
         try {
             // A follower redirects writes to the leader.
             HttpClient client = HttpClient.newBuilder().followRedirects(HttpClient.Redirect.NORMAL).build();
-            HttpResponse<String> response = client.send(request.build(), BodyHandlers.ofString());
+            HttpResponse<byte[]> response = client.send(request.build(), BodyHandlers.ofByteArray());
             boolean succeeded = response.statusCode() == 200;
-            (succeeded ? System.out : System.err).print(response.body());
+            // The bytes as they are: print() would replace what the locale's encoding does not have.
+            (succeeded ? System.out : System.err).writeBytes(response.body());
             return succeeded ? 0 : 1;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/coordinator/src/main/java/burlford/store/StoreFront.java
+++ b/coordinator/src/main/java/burlford/store/StoreFront.java
@@ -2,15 +2,15 @@
 
 import burlford.clients.Exchange;
 import burlford.clients.HttpConnection;
+import burlford.clients.RequestTarget;
 import burlford.core.Counters;
+import burlford.core.Utf8;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 
@@ -46,19 +46,17 @@
 
     @Override
     public void serve(Exchange exchange) {
-        QueryStringDecoder uri = new QueryStringDecoder(exchange.uri);
-        String path;
-        Map<String, List<String>> parameters;
+        RequestTarget target;
         try {
-            path = uri.path();
-            parameters = uri.parameters();
-        } catch (IllegalArgumentException malformed) {
-            reject(exchange, HttpResponseStatus.BAD_REQUEST, "malformed URI: " + malformed.getMessage());
+            target = RequestTarget.parse(exchange.uri);
+        } catch (RequestTarget.MalformedTargetException malformed) {
+            reject(exchange, HttpResponseStatus.BAD_REQUEST, malformed.getMessage());
             return;
         }
+        String path = target.path();
         String key = path.startsWith(PREFIX) ? path.substring(PREFIX.length()) : "";
         if (exchange.method.equals(HttpMethod.PUT) && !key.isEmpty()) {
-            put(exchange, key, parameters.getOrDefault("from", List.of()));
+            put(exchange, key, target.parameters().getOrDefault("from", List.of()));
         } else if (!exchange.method.equals(HttpMethod.GET)) {
             reject(exchange, HttpResponseStatus.METHOD_NOT_ALLOWED, path + " does not take " + exchange.method);
         } else if (path.equals("/counters")) {
@@ -82,7 +80,13 @@
             reject(exchange, HttpResponseStatus.BAD_REQUEST, "from names no version; 0 is that of a key not there yet");
             return;
         }
-        String value = new String(exchange.body, StandardCharsets.UTF_8);
+        String value;
+        try {
+            value = Utf8.decode(exchange.body);
+        } catch (Utf8.MalformedTextException malformed) {
+            reject(exchange, HttpResponseStatus.BAD_REQUEST, "the value is " + malformed.getMessage());
+            return;
+        }
         String rejection = validator.rejectionReason(key, value);
         if (rejection != null) {
             reject(exchange, HttpResponseStatus.BAD_REQUEST, rejection);
--- a/coordinator/src/test/java/burlford/inventory/InventoryTest.java
+++ b/coordinator/src/test/java/burlford/inventory/InventoryTest.java
@@ -80,4 +80,13 @@
                 .hasMessage("line 1: the header lacks the column ansible_port");
         assertThatThrownBy(() -> Inventory.parse("", true, 2)).hasMessage("line 1: there is no header row");
     }
+
+    /** Guards against ids that cannot be written to the store, nor told apart in a file. */
+    @Test
+    void halvesOfSurrogatePairsAreRejected() {
+        assertThatThrownBy(() -> Inventory.parse(YAML.replace("r1:", "\"r\\uD800\":"), false, 2))
+                .isInstanceOf(Inventory.InvalidInventoryException.class).hasMessageContaining("line 7: ");
+        assertThatThrownBy(() -> Inventory.parse(YAML.replace("zone: hall", "zone: \"\\uDC00\""), false, 2))
+                .isInstanceOf(Inventory.InvalidInventoryException.class).hasMessageContaining("surrogate");
+    }
 }
--- a/coordinator/src/test/java/burlford/store/ReplicatedStoreTest.java
+++ b/coordinator/src/test/java/burlford/store/ReplicatedStoreTest.java
@@ -191,4 +191,13 @@
         leader();
         awaitEverywhere(WRITES, value + (WRITES - 1));
     }
+
+    /** Guards against a text that can be neither logged nor sent, behind which nothing is written any more. */
+    @Test
+    void textThatCannotBeEncodedIsRefusedAndTheNextIsWritten() {
+        String leader = leader();
+        assertThat(put(leader, 0, "half of a pair: \ud800").outcome()).isEqualTo(Store.Outcome.REFUSED);
+        assertThat(put(leader, 0, "whole: \ud83d\ude95").outcome()).isEqualTo(Store.Outcome.STORED);
+        awaitEverywhere(1, "whole: \ud83d\ude95");
+    }
 }
