Reject a body with anything but white space behind its JSON object

Callers saw: a body whose length takes in the next request, a second object or old bytes was answered 200 for its first object; the rest was dropped without a word.

Cause: the JSON library stops behind the first value unless FAIL_ON_TRAILING_TOKENS is set. Change: it is set for both fronts' bodies, and settings written to the store are checked in the same way before they enter it.

--- a/coordinator/src/main/java/burlford/clients/ClientJson.java
+++ b/coordinator/src/main/java/burlford/clients/ClientJson.java
@@ -3,6 +3,7 @@
 import burlford.core.Utf8;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.Map;
@@ -15,12 +16,15 @@
 
     private ClientJson() { }
 
-    /** A mapper that remembers no field names: clients may make up new ones in each request. */
+    /**
+     * A mapper that remembers no field names, since clients may make up new ones in each request, and takes nothing
+     * behind a value but white space.
+     */
     public static ObjectMapper createMapper() {
         return new ObjectMapper(JsonFactory.builder()
                 .disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
                 .disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES)
-                .build());
+                .build()).enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
     }
 
     /**
--- a/coordinator/src/main/java/burlford/daemon/Configuration.java
+++ b/coordinator/src/main/java/burlford/daemon/Configuration.java
@@ -2,6 +2,7 @@
 
 import burlford.discovery.ReaderListParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -102,14 +103,27 @@
         return flat;
     }
 
+    /** Throws where a text is not one JSON value, with nothing but white space behind it. */
+    static void requireSingleValue(String what, String text) throws InvalidConfigurationException {
+        try {
+            new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).readTree(text);
+        } catch (JsonProcessingException e) {
+            throw malformed(what, e);
+        }
+    }
+
+    private static InvalidConfigurationException malformed(String what, JsonProcessingException e) {
+        return new InvalidConfigurationException(what + " line " + e.getLocation().getLineNr() + ": "
+                + e.getOriginalMessage());
+    }
+
     /** The same coordinator under other settings; what is its own among them stays. */
     Configuration with(String what, String other) throws InvalidConfigurationException {
         JsonNode node;
         try {
             node = new ObjectMapper().readTree(other);
         } catch (JsonProcessingException e) {
-            throw new InvalidConfigurationException(what + " line " + e.getLocation().getLineNr() + ": "
-                    + e.getOriginalMessage());
+            throw malformed(what, e);
         }
         if (!(node instanceof ObjectNode object)) {
             throw new InvalidConfigurationException(what + " is not a JSON object");
--- a/coordinator/src/main/java/burlford/daemon/Daemon.java
+++ b/coordinator/src/main/java/burlford/daemon/Daemon.java
@@ -147,6 +147,7 @@
 
         @Override
         public void validate(String settings) throws Configuration.InvalidConfigurationException {
+            Configuration.requireSingleValue("settings", settings);
             shared.parse(shared.configuration().with("settings", settings));
         }
 
