Tell a new decision module no empty reader list before the first one

Callers saw: queries refused for some 17 s where a store's settings were put in force before any list of readers had come.

Cause: Coordinator.reconfigure passes the present list to the new module. Before the first list that is an empty one, which counts as the first: the readers of the next list then count as started since, and are in slow start.

--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -103,6 +103,7 @@
     private final Map<String, Timers.Timer> joinedProbes = new HashMap<>();
     private long answerAllBy = Long.MAX_VALUE;
     private boolean failed;
+    private boolean hasReaderList;
     /** Queries may be open that were submitted under earlier settings and belong to an earlier dispatcher. */
     private boolean mayHaveOldDispatchers;
 
@@ -131,7 +132,10 @@
         site = newSite;
         dispatcher = newDispatcher;
         mayHaveOldDispatchers = true;
-        notifyDispatchers(ListKind.CACHED, readers());
+        if (hasReaderList) {
+            // An empty list would count as the first one, and the readers of the next as started since.
+            notifyDispatchers(ListKind.CACHED, readers());
+        }
         newDispatcher.shareBudgetsWith(previous);
     }
 
@@ -431,6 +435,7 @@
             return;
         }
         counters.add("lists." + kind.name().toLowerCase());
+        hasReaderList = true;
         boolean firstList = readersById.isEmpty();
         if (kind != ListKind.CHANGES) {
             List<String> listedIds = entries.stream().map(ReaderEntry::id).toList();
