Give the store's tests ports that no outgoing connection can take

Its ports were picked with port 0 and released; they lie in the range from which the system takes the source ports of connections, and members connect to each other before all of them listen.

Change: FreePorts takes ports below that range (it begins at 32768 here) and never one twice in a row. No check changed.

--- a/coordinator/src/test/java/burlford/play/StoreMembers.java
+++ b/coordinator/src/test/java/burlford/play/StoreMembers.java
@@ -1,11 +1,10 @@
 package burlford.play;
 
+import burlford.FreePorts;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -36,17 +35,11 @@
     StoreMembers(Path directory, Map<String, String> environment, List<String> names) throws IOException {
         this.directory = directory;
         this.environment = environment;
-        List<ServerSocket> free = new ArrayList<>();
         for (String name : names) {
-            free.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-            free.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-            operatorPorts.put(name, free.get(free.size() - 1).getLocalPort());
-            addresses.append(addresses.isEmpty() ? "" : ", ").append(name + ": {peers: '127.0.0.1:"
-                    + free.get(free.size() - 2).getLocalPort() + "', admin: '127.0.0.1:" + operatorPorts.get(name)
-                    + "'}");
-        }
-        for (ServerSocket s : free) {
-            s.close();
+            List<Integer> ports = FreePorts.take(2);
+            operatorPorts.put(name, ports.get(1));
+            addresses.append(addresses.isEmpty() ? "" : ", ").append(name + ": {peers: '127.0.0.1:" + ports.get(0)
+                    + "', admin: '127.0.0.1:" + ports.get(1) + "'}");
         }
         for (String name : names) {
             start(name);
--- a/coordinator/src/test/java/burlford/store/ReplicatedStoreTest.java
+++ b/coordinator/src/test/java/burlford/store/ReplicatedStoreTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import burlford.FreePorts;
 import burlford.core.Timers;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -14,7 +15,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -45,9 +45,7 @@
     @BeforeEach
     void start() throws IOException {
         for (String name : new String[] {"a", "b", "c"}) {
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                addresses.put(name, new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort()));
-            }
+            addresses.put(name, new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePorts.take(1).get(0)));
         }
         for (String name : addresses.keySet()) {
             start(name);
