Serve, and use what the store holds, only once a member's state is current

Callers saw: a store member that was killed and started again served for about a second by its file's settings. Parts of a class that the store made fragile were sent three times. With discovery silent it took the oldest list of readers in its log, and sent parts to readers that drain; inventories that had been replaced were in force again one after the other.

Cause: nothing decided whether a member's state is current. Clients were listened for at once, and the log's entries were reported one by one as the leader told that they are committed.

Change: StateRecovery decides when a member has applied all that the present leader knows to be committed; ReplicatedStore reports the newest entries then, once; StoreStartup holds the start until then, for 5 s at most, after which the last state in the member's own log is used. Lists from before a start are not written over the store's. Values are neither read nor written at a member whose state is not current.

--- a/coordinator/src/main/java/burlford/core/Coordinator.java
+++ b/coordinator/src/main/java/burlford/core/Coordinator.java
@@ -25,6 +25,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.logging.Level;
@@ -92,7 +93,7 @@
     private ReaderTransport readerTransport;
     private final Map<Long, OpenQuery> queries = new LinkedHashMap<>();
     private final Map<String, ReaderEntry> readersById = new LinkedHashMap<>();
-    private Runnable onReadersUpdated = () -> { };
+    private Consumer<ListKind> onReadersUpdated = kind -> { };
     private Runnable beforeSend = () -> { };
     private final ArrayDeque<PendingDecisions> pendingDecisions = new ArrayDeque<>();
     /** Calls decided in this event-loop iteration and not yet passed to the transport. */
@@ -151,7 +152,7 @@
     }
 
     @Override
-    public void onReadersUpdated(Runnable action) {
+    public void onReadersUpdated(Consumer<ListKind> action) {
         onReadersUpdated = action;
     }
 
@@ -469,7 +470,7 @@
             LOG.log(Level.INFO, "reader list: {0} readers, from a list of kind {1}",
                     new Object[] {readersById.size(), kind});
         }
-        onReadersUpdated.run();
+        onReadersUpdated.accept(kind);
     }
 
     /** Ends calls that wait for a connection to a reader which takes nothing new, lest they are sent once it is up. */
--- a/coordinator/src/main/java/burlford/core/ReaderRegistry.java
+++ b/coordinator/src/main/java/burlford/core/ReaderRegistry.java
@@ -2,6 +2,7 @@
 
 import burlford.policy.Aggregator.ListKind;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** Holds the reader list, which the sources of the list update. One event loop calls it. */
 public interface ReaderRegistry {
@@ -12,8 +13,8 @@
     /** The current reader list. */
     List<ReaderEntry> readers();
 
-    /** Sets the action that runs after each change of the reader list. */
-    void onReadersUpdated(Runnable action);
+    /** Sets the action that runs after each update of the reader list, with the kind of the update. */
+    void onReadersUpdated(Consumer<ListKind> action);
 
     /** The settings in force. */
     Site site();
--- a/coordinator/src/main/java/burlford/daemon/Daemon.java
+++ b/coordinator/src/main/java/burlford/daemon/Daemon.java
@@ -80,14 +80,13 @@
             });
         }
         Signal.handle(new Signal("HUP"), s -> reload());
-        Configuration configuration = shared.configuration();
         OperatorFile operator = shared.parsedConfiguration().operatorFile();
         ReaderRegistry roster = serving.readerRegistry();
         Inventory inventory = operator.inventory() == null ? null
                 : Inventory.load(operator.inventory(), roster.site().cells());
         Store store = store(operator.store());
         StoreSynchronizer records = new StoreSynchronizer(store, roster, turns.timers, new DaemonSettings(),
-                operator.inventory() == null && configuration.discovery() == null);
+                operator.inventory() == null && shared.configuration().discovery() == null);
         records.start();
         Logger.getLogger("burlford.trace").log(Level.FINE, "settings {0}", shared.configuration().settings());
         if (operator.store() != null) {
@@ -101,18 +100,18 @@
                 }
             }));
         }
+        new StoreStartup(store, turns, shared::isDraining).await();
         if (inventory != null) {
             roster.updateReaders(ListKind.WHOLE, inventory.readerEntries());
-        } else if (configuration.discovery() != null) {
-            watch = new Watch(serving.outboundBootstrap(), configuration.discovery(), roster, turns.timers);
+        } else if (shared.configuration().discovery() != null) {
+            watch = new Watch(serving.outboundBootstrap(), shared.configuration().discovery(), roster, turns.timers);
             serving.onBeforeSend(watch::readNow);
-            watch.start(configuration.lastKnownReaders());
+            // The store's list goes before the file's, which is as old as the file.
+            watch.start(roster.readers().isEmpty() ? shared.configuration().lastKnownReaders() : null);
             awaitList();
         }
-        // Last: what comes from here on is ours to answer, and reading the list took half a second of a short core.
-        listen("platform", configuration.listen(), b -> serving.configureListener(b, FrontType.PLATFORM));
-        if (operator.search() != null) {
-            listen("search", operator.search().listen(), b -> serving.configureListener(b, FrontType.SEARCH));
+        if (!shared.isDraining()) {
+            listenForClients(operator);
         }
         while (!serving.isDrained()) {
             turns.runIteration();
@@ -127,6 +126,14 @@
         System.out.flush();
     }
 
+    /** Last: what comes from here on is ours to answer, and reading the list took half a second of a short core. */
+    private void listenForClients(OperatorFile operator) throws IOException {
+        listen("platform", shared.configuration().listen(), b -> serving.configureListener(b, FrontType.PLATFORM));
+        if (operator.search() != null) {
+            listen("search", operator.search().listen(), b -> serving.configureListener(b, FrontType.SEARCH));
+        }
+    }
+
     /** What discovery has counts as notified from the start; the list known from before may be old. */
     private void awaitList() {
         long until = turns.now() + LONGEST_WAIT_FOR_LIST;
--- a/coordinator/src/main/java/burlford/daemon/MultiLaneGroup.java
+++ b/coordinator/src/main/java/burlford/daemon/MultiLaneGroup.java
@@ -62,7 +62,7 @@
     private final Bootstrap out;
     private final LaneShare ownShare;
     private final Connections ownConnections;
-    private Runnable onListed = () -> { };
+    private Consumer<ListKind> onListed = kind -> { };
     private long generation;
     private long nextLook;
     private long writtenBy;
@@ -377,7 +377,7 @@
         }
         ground.setReaderCount(list.size());
         tell(lane -> lane.lane.coordinator.updateReaders(kind, entries));
-        onListed.run();
+        onListed.accept(kind);
     }
 
     @Override
@@ -386,7 +386,7 @@
     }
 
     @Override
-    public void onReadersUpdated(Runnable action) {
+    public void onReadersUpdated(Consumer<ListKind> action) {
         onListed = action;
     }
 
--- a/coordinator/src/main/java/burlford/daemon/StoreSynchronizer.java
+++ b/coordinator/src/main/java/burlford/daemon/StoreSynchronizer.java
@@ -36,6 +36,11 @@
     private final Timers deadlines;
     private final ActiveSettings settings;
     private final boolean fromStore;
+    /** The reader list did not come from the key READERS: it is not to be replaced by that one. */
+    private boolean hasOwnList;
+    /** The reader list is one of this life of the process, from discovery or an inventory. */
+    private boolean hasNewList;
+    private boolean applyingReaders;
     private boolean writing;
 
     /** The settings in force, as JSON. */
@@ -60,10 +65,16 @@
 
     void start() {
         store.watch(this::written);
-        roster.onReadersUpdated(this::keep);
+        roster.onReadersUpdated(this::readersUpdated);
         look();
     }
 
+    private void readersUpdated(ListKind kind) {
+        hasOwnList |= !applyingReaders;
+        hasNewList |= kind != ListKind.CACHED;
+        keep();
+    }
+
     /** Who leads changes without a word to us; now and then is soon enough to take over its writing. */
     private void look() {
         keep();
@@ -99,8 +110,8 @@
                 settings.apply(entry.value());
             } else if (key.equals(INVENTORY) && fromStore) {
                 roster.updateReaders(ListKind.WHOLE, inventory(entry.value()).readerEntries());
-            } else if (key.equals(READERS) && roster.readers().isEmpty()) {
-                roster.updateReaders(ListKind.CACHED, JSON.readValue(entry.value(), ENTRIES));
+            } else if (key.equals(READERS) && !hasOwnList) {
+                applyReaders(JSON.readValue(entry.value(), ENTRIES));
             }
         } catch (Configuration.InvalidConfigurationException | Inventory.InvalidInventoryException | IOException e) {
             LOG.log(Level.WARNING, "store: {0} cannot be used: {1}", new Object[] {key, e.getMessage()});
@@ -108,19 +119,27 @@
         keep();
     }
 
+    /** A later list replaces an earlier one, as long as no other source has given one. */
+    private void applyReaders(List<ReaderEntry> readers) {
+        applyingReaders = true;
+        roster.updateReaders(ListKind.CACHED, readers);
+        applyingReaders = false;
+    }
+
     /**
      * The member that leads writes what has changed, one write at a time: the readers, and where no settings
-     * are in the store yet, its own. Settings in the store go before those a coordinator was started with.
+     * are in the store yet, its own. Settings in the store go before those a coordinator was started with. A list from
+     * before the start may be older than the one in the store, and does not replace it.
      */
     private void keep() {
-        if (writing || !store.member().equals(store.leader())) {
+        if (writing || !store.isCurrent() || !store.member().equals(store.leader())) {
             return;
         }
         try {
             if (store.get(CONFIGURATION) == null) {
                 put(CONFIGURATION, settings.currentJson());
             }
-            if (!writing && !roster.readers().isEmpty()) {
+            if (!writing && !roster.readers().isEmpty() && (hasNewList || store.get(READERS) == null)) {
                 put(READERS, JSON.writeValueAsString(roster.readers()));
             }
         } catch (JsonProcessingException e) {
--- a/coordinator/src/main/java/burlford/store/MemoryStore.java
+++ b/coordinator/src/main/java/burlford/store/MemoryStore.java
@@ -41,6 +41,16 @@
         return state.entries();
     }
 
+    @Override
+    public boolean isCurrent() {
+        return true;
+    }
+
+    @Override
+    public void reportLastKnown(Runnable done) {
+        done.run();
+    }
+
     @Override
     public void watch(BiConsumer<String, Entry> watcher) {
         watchers.add(watcher);
--- a/coordinator/src/main/java/burlford/store/ReplicatedStore.java
+++ b/coordinator/src/main/java/burlford/store/ReplicatedStore.java
@@ -7,6 +7,8 @@
 import io.microraft.RaftEndpoint;
 import io.microraft.RaftNode;
 import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RestoredRaftState;
 import io.microraft.statemachine.StateMachine;
 import io.netty.bootstrap.Bootstrap;
@@ -38,8 +40,6 @@
 public final class ReplicatedStore implements Store {
 
     private static final Logger LOG = Logger.getLogger(ReplicatedStore.class.getName());
-    /** Operation that a new leader commits to start its term; it changes no key. */
-    private static final String NEW_TERM = "";
     private static final long WRITE_TIMEOUT_US = 10_000_000;
     /** Bounds the messages to a member that lags: each entry may be as long as the longest value. */
     static final int MAX_ENTRIES_PER_MESSAGE = 16;
@@ -59,6 +59,9 @@
     private final List<BiConsumer<String, Entry>> watchers = new ArrayList<>();
     /** This member's committed entries; used only on the event loop. */
     private final Map<String, Entry> committedEntries = new TreeMap<>();
+    /** Used only on the store's thread. */
+    private final StateRecovery recovery;
+    private boolean current;
     private boolean closed;
 
     public ReplicatedStore(EventLoop loop, Bootstrap bootstrap, Timers timers, LongSupplier clock, String name,
@@ -83,16 +86,75 @@
             builder.setLocalEndpoint(member).setInitialGroupMembers(
                     members.keySet().stream().map(m -> (RaftEndpoint) new Member(m)).toList());
         }
+        recovery = new StateRecovery(member);
         node = builder.build();
     }
 
     /** Listens for the other members, then starts the Raft node. */
     public ChannelFuture start(ServerBootstrap server, InetSocketAddress address) {
-        ChannelFuture bound = transport.listen(server, address, node::handle);
+        ChannelFuture bound = transport.listen(server, address, this::receive);
         node.start();
         return bound;
     }
 
+    private void receive(RaftMessage message) {
+        node.handle(message);
+        if (!current && message instanceof AppendEntriesRequest request) {
+            // Runs behind the node's own task for the message.
+            runOnStoreThread(() -> {
+                recovery.onProcessed(request, node.getTerm());
+                reportIfCurrent();
+            });
+        }
+    }
+
+    /** Runs on the store's thread, behind the applied operations. */
+    private void reportIfCurrent() {
+        if (recovery.isCurrent()) {
+            loop.execute(this::becomeCurrent);
+        }
+    }
+
+    private void becomeCurrent() {
+        if (!current) {
+            current = true;
+            LOG.log(Level.INFO, "store: the state is current, with {0} keys", committedEntries.size());
+            notifyWatchers(committedEntries);
+        }
+    }
+
+    private void notifyWatchers(Map<String, Entry> entries) {
+        new TreeMap<>(entries).forEach((key, entry) -> watchers.forEach(w -> w.accept(key, entry)));
+    }
+
+    @Override
+    public boolean isCurrent() {
+        return current;
+    }
+
+    @Override
+    public void reportLastKnown(Runnable done) {
+        runOnStoreThread(() -> {
+            Map<String, Entry> lastKnown = readLastKnown();
+            loop.execute(() -> {
+                if (!current) {
+                    notifyWatchers(lastKnown);
+                }
+                done.run();
+            });
+        });
+    }
+
+    private Map<String, Entry> readLastKnown() {
+        try {
+            RestoredRaftState state = log.restoredState();
+            return state == null ? Map.of() : VersionedMap.replay(state).entries();
+        } catch (IOException | RuntimeException e) {
+            LOG.log(Level.WARNING, "store: the last state in the log cannot be read", e);
+            return Map.of();
+        }
+    }
+
     @Override
     public void put(String key, long expectedVersion, String value, Consumer<WriteResult> done) {
         if (!Utf8.isWellFormed(key) || !Utf8.isWellFormed(value)) {
@@ -160,7 +222,7 @@
 
     private void applyCommitted(Map<String, Entry> entries) {
         entries.forEach((key, entry) -> {
-            if (!entry.equals(committedEntries.put(key, entry))) {
+            if (!entry.equals(committedEntries.put(key, entry)) && current) {
                 watchers.forEach(w -> w.accept(key, entry));
             }
         });
@@ -181,7 +243,8 @@
         @Override
         public Object runOperation(long index, Object operation) {
             requestSnapshotIfDue((String) operation);
-            if (NEW_TERM.equals(operation)) {
+            onApplied(index);
+            if (VersionedMap.NEW_TERM.equals(operation)) {
                 return null;
             }
             VersionedMap.ApplyResult applied = map.apply((String) operation);
@@ -192,6 +255,14 @@
             return applied.writeResult();
         }
 
+        private void onApplied(long index) {
+            if (!recovery.isCurrent()) {
+                recovery.onApplied(index, node.getTerm());
+                // Behind all that the node applies with this operation.
+                runOnStoreThread(ReplicatedStore.this::reportIfCurrent);
+            }
+        }
+
         /**
          * Has a snapshot taken once the operations since the last one are too many bytes to keep. The node itself
          * counts commits only, however long their operations are.
@@ -215,13 +286,14 @@
         public void installSnapshot(long index, List<Object> chunks) {
             bytesSinceSnapshot = 0;
             map.restore(chunks.stream().map(String.class::cast).toList());
+            recovery.onSnapshotInstalled(index);
             Map<String, Entry> all = new TreeMap<>(map.entries());
             loop.execute(() -> applyCommitted(all));
         }
 
         @Override
         public Object getNewTermOperation() {
-            return NEW_TERM;
+            return VersionedMap.NEW_TERM;
         }
     }
 
--- a/coordinator/src/main/java/burlford/store/Store.java
+++ b/coordinator/src/main/java/burlford/store/Store.java
@@ -37,8 +37,25 @@
     /** All entries by key; callers must not modify the map. */
     Map<String, Entry> entries();
 
-    /** Registers a watcher, called for each key changed through any member once this member has committed it. */
+    /**
+     * Whether this member's entries include all writes that were accepted before it started, so that none of them can
+     * be older than what it or its clients knew before a restart. Once true it stays so.
+     */
+    boolean isCurrent();
+
+    /**
+     * Registers a watcher. It is called for each key once the state is current, in the order of the keys, and from then
+     * on for each key changed through any member once this member has committed it.
+     */
     void watch(BiConsumer<String, Entry> watcher);
 
+    /**
+     * Calls the watchers with the newest entries that this member's disk has, although they may be neither current nor
+     * committed: all that a member has that starts without a majority. Does nothing once the state is current.
+     *
+     * @param done called when the watchers have been
+     */
+    void reportLastKnown(Runnable done);
+
     void close();
 }
--- a/coordinator/src/main/java/burlford/store/StoreFront.java
+++ b/coordinator/src/main/java/burlford/store/StoreFront.java
@@ -66,6 +66,8 @@
             ObjectNode keys = body.putObject("versions");
             store.entries().forEach((k, v) -> keys.put(k, v.version()));
             exchange.reply(HttpResponseStatus.OK, JSON, body + "\n", Map.of());
+        } else if (!key.isEmpty() && !store.isCurrent()) {
+            rejectUntilCurrent(exchange);
         } else if (!key.isEmpty() && store.get(key) != null) {
             Store.Entry entry = store.get(key);
             exchange.reply(HttpResponseStatus.OK, "text/plain; charset=UTF-8", entry.value(),
@@ -80,6 +82,11 @@
             reject(exchange, HttpResponseStatus.BAD_REQUEST, "from names no version; 0 is that of a key not there yet");
             return;
         }
+        if (!store.isCurrent()) {
+            // It would be checked by settings that may have been replaced.
+            rejectUntilCurrent(exchange);
+            return;
+        }
         String value;
         try {
             value = Utf8.decode(exchange.body);
@@ -116,6 +123,11 @@
         });
     }
 
+    private void rejectUntilCurrent(Exchange exchange) {
+        reject(exchange, HttpResponseStatus.SERVICE_UNAVAILABLE,
+                "no majority has answered since this member started; what it has may be old");
+    }
+
     @Override
     public void refuseOverloaded(Exchange exchange, String reason) {
         reject(exchange, HttpResponseStatus.SERVICE_UNAVAILABLE, "too many connections");
--- a/coordinator/src/main/java/burlford/store/VersionedMap.java
+++ b/coordinator/src/main/java/burlford/store/VersionedMap.java
@@ -7,6 +7,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.log.SnapshotEntry;
+import io.microraft.persistence.RestoredRaftState;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +19,9 @@
 /** The replicated state: members that apply the same writes in the same order reach the same state. Encoded as JSON. */
 final class VersionedMap {
 
+    /** Operation that a new leader commits to start its term; it changes no key. */
+    static final String NEW_TERM = "";
+
     private static final ObjectMapper JSON = new ObjectMapper();
     private final Map<String, Entry> entries = new TreeMap<>();
 
@@ -22,6 +29,24 @@
         return JSON.createObjectNode().put("key", key).put("from", expectedVersion).put("value", value).toString();
     }
 
+    /** The state that a log holds, as if all of its entries were committed. */
+    static VersionedMap replay(RestoredRaftState log) {
+        VersionedMap map = new VersionedMap();
+        if (SnapshotEntry.isNonInitial(log.getSnapshotEntry())) {
+            List<String> chunks = new ArrayList<>();
+            for (Object chunk : (List<?>) log.getSnapshotEntry().getOperation()) {
+                chunks.add((String) ((SnapshotChunk) chunk).getOperation());
+            }
+            map.restore(chunks);
+        }
+        for (LogEntry entry : log.getLogEntries()) {
+            if (entry.getOperation() instanceof String operation && !operation.equals(NEW_TERM)) {
+                map.apply(operation);
+            }
+        }
+        return map;
+    }
+
     /** Key and result of an applied write. */
     record ApplyResult(String key, WriteResult writeResult) { }
 
--- a/coordinator/src/test/java/burlford/discovery/WatchTest.java
+++ b/coordinator/src/test/java/burlford/discovery/WatchTest.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -60,7 +61,7 @@
         }
 
         @Override
-        public void onReadersUpdated(Runnable action) { }
+        public void onReadersUpdated(Consumer<ListKind> action) { }
 
         @Override
         public Site site() {
--- a/coordinator/src/test/java/burlford/play/StoreMembers.java
+++ b/coordinator/src/test/java/burlford/play/StoreMembers.java
@@ -27,12 +27,20 @@
     private final HttpClient client = HttpClient.newBuilder().followRedirects(HttpClient.Redirect.NORMAL).build();
     private final Path directory;
     private final Map<String, String> environment;
+    private final String operator;
     private final StringBuilder addresses = new StringBuilder();
     private final Map<String, Integer> operatorPorts = new LinkedHashMap<>();
     private final Map<String, CoordinatorProcess> running = new LinkedHashMap<>();
 
     /** environment: of each program, beside its configuration. */
     StoreMembers(Path directory, Map<String, String> environment, List<String> names) throws IOException {
+        this(directory, environment, names, "");
+    }
+
+    /** operator: further lines of the operator's file. */
+    StoreMembers(Path directory, Map<String, String> environment, List<String> names, String operator)
+            throws IOException {
+        this.operator = operator;
         this.directory = directory;
         this.environment = environment;
         for (String name : names) {
@@ -52,7 +60,7 @@
             configuration = (ObjectNode) JSON.readTree(in);
         }
         configuration.put("name", name).remove("discovery");
-        running.put(name, CoordinatorProcess.serve(configuration, "store: {directory: '"
+        running.put(name, CoordinatorProcess.serve(configuration, operator + "store: {directory: '"
                 + Files.createDirectories(directory.resolve(name)) + "', members: {" + addresses + "}}\n",
                 environment));
     }
--- a/coordinator/src/test/java/burlford/store/ReplicatedStoreTest.java
+++ b/coordinator/src/test/java/burlford/store/ReplicatedStoreTest.java
@@ -19,7 +19,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
@@ -34,6 +37,7 @@
     private static final StoreLimits LIMITS = new StoreLimits(1 << 20, 1 << 16);
     private static final int LONG_VALUE_CHARACTERS = 60_000;
     private static final int WRITES = 100;
+    private static final int VERSIONS = 5;
 
     @TempDir
     private Path directory;
@@ -41,6 +45,8 @@
     private final Timers timers = new Timers();
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
     private final Map<String, ReplicatedStore> runningStores = new LinkedHashMap<>();
+    /** By member: what its watchers have been told of since it was started. */
+    private final Map<String, List<Long>> reportedVersions = new HashMap<>();
 
     @BeforeEach
     void start() throws IOException {
@@ -61,6 +67,9 @@
     private void start(String name) throws IOException {
         ReplicatedStore store = new ReplicatedStore(loop, new Bootstrap().group(loop).channel(NioSocketChannel.class),
                 timers, () -> System.nanoTime() / 1000, name, directory, addresses, LIMITS);
+        List<Long> versions = new ArrayList<>();
+        reportedVersions.put(name, versions);
+        store.watch((key, entry) -> versions.add(entry.version()));
         ChannelFuture bound = store.start(new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class),
                 addresses.get(name));
         await(bound::isDone);
@@ -198,4 +207,48 @@
         assertThat(put(leader, 0, "whole: \ud83d\ude95").outcome()).isEqualTo(Store.Outcome.STORED);
         awaitEverywhere(1, "whole: \ud83d\ude95");
     }
+
+    /** Guards against settings and lists that were replaced long ago and are in force again while a log is replayed. */
+    @Test
+    void watchersOfARestartedMemberAreToldOfTheNewestStateAlone() throws IOException {
+        String leader = leader();
+        String restarted = follower(leader);
+        for (int i = 0; i < VERSIONS; i++) {
+            assertThat(put(leader, i, "v" + i).outcome()).isEqualTo(Store.Outcome.STORED);
+        }
+        awaitEverywhere(VERSIONS, "v" + (VERSIONS - 1));
+        stop(restarted);
+        put(leader, VERSIONS, "written while it was down");
+        start(restarted);
+        await(() -> !reportedVersions.get(restarted).isEmpty());
+        stop(leader);
+        start(leader);
+        await(() -> !reportedVersions.get(leader).isEmpty());
+        awaitEverywhere(VERSIONS + 1, "written while it was down");
+        assertThat(reportedVersions.get(restarted)).containsExactly(VERSIONS + 1L);
+        assertThat(reportedVersions.get(leader)).containsExactly(VERSIONS + 1L);
+        assertThat(put(leader(), VERSIONS + 1, "next").outcome()).isEqualTo(Store.Outcome.STORED);
+        await(() -> reportedVersions.get(restarted).equals(List.of(VERSIONS + 1L, VERSIONS + 2L)));
+    }
+
+    /** A member that finds no majority has the last state of its own log, and the current one once there is one. */
+    @Test
+    void memberWithoutMajorityHasItsLastKnownState() throws IOException {
+        String leader = leader();
+        for (int i = 0; i < VERSIONS; i++) {
+            put(leader, i, "v" + i);
+        }
+        awaitEverywhere(VERSIONS, "v" + (VERSIONS - 1));
+        List<String> members = List.copyOf(runningStores.keySet());
+        members.forEach(this::stop);
+        start(members.get(0));
+        boolean[] done = new boolean[1];
+        runningStores.get(members.get(0)).reportLastKnown(() -> done[0] = true);
+        await(() -> done[0]);
+        assertThat(reportedVersions.get(members.get(0))).containsExactly((long) VERSIONS);
+        assertThat(runningStores.get(members.get(0)).isCurrent()).isFalse();
+        start(members.get(1));
+        await(() -> runningStores.values().stream().allMatch(ReplicatedStore::isCurrent));
+        assertThat(reportedVersions.get(members.get(0))).containsExactly((long) VERSIONS, (long) VERSIONS);
+    }
 }
