--- a/coordinator/src/main/java/burlford/daemon/StoreStartup.java
+++ b/coordinator/src/main/java/burlford/daemon/StoreStartup.java
@@ -29,6 +29,9 @@
 
     /** Runs the event loop until the store's watchers have been told of the state to start with. */
     void await() {
+        if (store.isCurrent()) {
+            return;
+        }
         long until = loopDriver.now() + MAX_WAIT_US;
         loopDriver.timers.schedule(until, () -> { }); // the loop waits no longer than until a timer is due
         while (!store.isCurrent() && loopDriver.now() < until && !stopping.getAsBoolean()) {
--- a/coordinator/src/test/java/burlford/store/ReplicatedStoreTest.java
+++ b/coordinator/src/test/java/burlford/store/ReplicatedStoreTest.java
@@ -251,4 +251,23 @@
         await(() -> runningStores.values().stream().allMatch(ReplicatedStore::isCurrent));
         assertThat(reportedVersions.get(members.get(0))).containsExactly((long) VERSIONS, (long) VERSIONS);
     }
+
+    /** The same where the log has a snapshot, and entries behind it. */
+    @Test
+    void memberWithoutMajorityHasItsLastKnownStateBehindASnapshot() throws IOException {
+        String leader = leader();
+        String value = "v".repeat(LONG_VALUE_CHARACTERS);
+        for (int i = 0; i < WRITES; i++) {
+            assertThat(put(leader, i, value + i).outcome()).isEqualTo(Store.Outcome.STORED);
+        }
+        awaitEverywhere(WRITES, value + (WRITES - 1));
+        List.copyOf(runningStores.keySet()).forEach(this::stop);
+        assertThat(Files.size(directory.resolve(leader + ".log"))).as("compacted")
+                .isLessThan((long) WRITES * LONG_VALUE_CHARACTERS / 2);
+        start(leader);
+        boolean[] done = new boolean[1];
+        runningStores.get(leader).reportLastKnown(() -> done[0] = true);
+        await(() -> done[0]);
+        assertThat(reportedVersions.get(leader)).containsExactly((long) WRITES);
+    }
 }
