Take the writing of replies out of HttpConnection, and name its states and timers

ReplyWriter writes replies and holds their memory; begun, clean, by, due, gone, tooSlow and their like are requestBegun, allInputDecoded, timer, startTimer, onClosed, rejectSlowRequest. Timeouts say their unit. Some lines of new tests are folded. Behaviour is unchanged.

--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -49,11 +49,11 @@
     private static final Logger LOG = Logger.getLogger(HttpConnection.class.getName());
     public static final int MAX_BODY_BYTES = 64 * 1024;
     /** From connecting, or from a later request's first byte, to its last: guards against slow and silent clients. */
-    private static final long REQUEST_TIME = 2_000_000;
+    private static final long REQUEST_TIMEOUT_US = 2_000_000;
     /** A connection without a request is closed after so long: some clients ask once and never close. */
-    private static final long REST_TIME = 5_000_000;
+    private static final long IDLE_TIMEOUT_US = 5_000_000;
     /** So long what still comes in behind a last reply is read and thrown away. */
-    private static final long LEAVE_TIME = 1_000_000;
+    private static final long LINGER_TIMEOUT_US = 1_000_000;
     /**
      * What was read this long ago still tells whether the client is there; an attempt may begin 0.1 s after its end.
      */
@@ -82,32 +82,32 @@
     private ChannelHandlerContext ctx;
     private boolean serving;
     private boolean ending;
-    private boolean crowded;
+    private boolean overLimit;
     /** No further request of this connection is taken. What still comes is thrown away, to see its client leave. */
     private boolean inputClosed;
     /** Some bytes of a request have come, and not yet its last. */
-    private boolean begun;
+    private boolean requestBegun;
     /** Nothing has come since the last byte of the last request. */
-    private boolean clean = true;
-    private final ChannelFutureListener onClose = f -> gone();
+    private boolean allInputDecoded = true;
+    private final ChannelFutureListener closeListener = f -> onClosed();
     private final RequestDecoder decoder = new RequestDecoder();
     private final RequestAggregator aggregator = new RequestAggregator(MAX_BODY_BYTES);
     private final ClientInput input;
-    /** Replies on their way into the socket. */
-    private int unwritten;
+    private final ReplyWriter replies;
     /** Reserved for the request that is coming in, but for its body. */
     private int reservedInputBytes;
     private long requests;
     private long acceptedAt;
     /** Since when it may have waited in the listener's backlog. */
     private long waitingSince = NO_BACKLOG;
-    private Timers.Timer by;
+    private Timers.Timer timer;
 
     private HttpConnection(Front front, LongSupplier clock, BooleanSupplier leaving, Connections connections) {
         this.front = front;
         this.clock = clock;
         this.leaving = leaving;
         this.connections = connections;
+        this.replies = new ReplyWriter(this, connections);
         this.input = new ClientInput(new InputOwner(), decoder, connections.timers(), connections::now);
     }
 
@@ -123,8 +123,8 @@
     private final class InputOwner implements ClientInput.Owner {
         @Override
         public void onBytesArrived() {
-            clean = false;
-            arrived();
+            allInputDecoded = false;
+            onRequestBegun();
         }
 
         @Override
@@ -148,7 +148,7 @@
                 return false;
             }
             if (waiting.isEmpty()) {
-                awaitReading();
+                awaitClientReading();
             }
             return true;
         }
@@ -168,17 +168,18 @@
     @Override
     public void handlerAdded(ChannelHandlerContext c) {
         ctx = c;
+        replies.open(c);
         acceptedAt = connections.now();
         Long backlog = c.channel().attr(BacklogAge.WAITING_SINCE).getAndSet(null);
         waitingSince = backlog == null ? NO_BACKLOG : backlog;
         c.channel().config().setRecvByteBufAllocator(ChannelReads.READ_UNTIL_EMPTY_ALLOCATOR);
-        c.channel().closeFuture().addListener(onClose);
+        c.channel().closeFuture().addListener(closeListener);
         connections.opened(this);
-        crowded = connections.isOverLimit();
+        overLimit = connections.isOverLimit();
         if (connections.isFull()) {
             close(CloseReason.FULL);
         } else {
-            due(REQUEST_TIME, this::tooSlow);
+            startTimer(REQUEST_TIMEOUT_US, this::rejectSlowRequest);
         }
     }
 
@@ -205,16 +206,16 @@
         return connections.isAwaitingRequest(this) && ctx.channel().isActive();
     }
 
-    private void gone() {
+    private void onClosed() {
         connections.release(reservedInputBytes);
         reservedInputBytes = 0;
         connections.closed(this);
-        connections.timers().cancel(by);
+        connections.timers().cancel(timer);
     }
 
-    private void due(long wait, Runnable action) {
-        connections.timers().cancel(by);
-        by = connections.timers().schedule(connections.now() + wait, action);
+    private void startTimer(long wait, Runnable action) {
+        connections.timers().cancel(timer);
+        timer = connections.timers().schedule(connections.now() + wait, action);
     }
 
     void close(CloseReason reason) {
@@ -227,7 +228,8 @@
 
     /** Between requests, with no byte of the next one read nor of a reply unwritten: all there is is its socket. */
     boolean isMovable() {
-        return clean && waiting.isEmpty() && !begun && !ending && !crowded && unwritten == 0;
+        return allInputDecoded && waiting.isEmpty() && !requestBegun && !ending && !overLimit
+                && !replies.hasUnwritten();
     }
 
     /**
@@ -239,8 +241,8 @@
         if (!isMovable() || !channel.isActive()) {
             return false;
         }
-        channel.closeFuture().removeListener(onClose);
-        gone();
+        channel.closeFuture().removeListener(closeListener);
+        onClosed();
         // What comes from here on stays in the socket until the other loop reads it.
         channel.config().setAutoRead(false);
         while (channel.pipeline().first() != null) {
@@ -256,33 +258,33 @@
         return true;
     }
 
-    private void arrived() {
-        if (waiting.isEmpty() && !begun) {
-            begun = true;
+    private void onRequestBegun() {
+        if (waiting.isEmpty() && !requestBegun) {
+            requestBegun = true;
             connections.startHolding(this);
             boolean rested = connections.isIdle(this);
             connections.markBusy(this); // not closed for another over a request that has begun
             if (rested) {
-                due(REQUEST_TIME, this::tooSlow);
+                startTimer(REQUEST_TIMEOUT_US, this::rejectSlowRequest);
             }
         }
     }
 
     /** Guards against heads and bodies that come slowly or never end. */
-    private void tooSlow() {
+    private void rejectSlowRequest() {
         long requestsBefore = requests;
         ChannelReads.readNow(ctx.channel());
         if (requests > requestsBefore || !ctx.channel().isActive()) {
             return; // it had come
         }
-        if (!begun) {
+        if (!requestBegun) {
             close(CloseReason.NO_REQUEST);
             return;
         }
         Exchange e = new Exchange(this, HttpMethod.POST, "", EmptyHttpHeaders.INSTANCE, new byte[0],
                 connections.now(), new TimeoutException(), false);
         waiting.add(e);
-        front.reject(e, HttpResponseStatus.REQUEST_TIMEOUT, "the request took longer than " + REQUEST_TIME / 1000
+        front.reject(e, HttpResponseStatus.REQUEST_TIMEOUT, "the request took longer than " + REQUEST_TIMEOUT_US / 1000
                 + " ms to come in");
     }
 
@@ -294,12 +296,12 @@
         requests++;
         input.onRequestDecoded();
         connections.onRequestDecoded();
-        begun = false;
-        if (unwritten == 0) {
+        requestBegun = false;
+        if (!replies.hasUnwritten()) {
             connections.stopHolding(this);
         }
-        clean = decoder.undecodedBytes() == 0;
-        connections.timers().cancel(by);
+        allInputDecoded = decoder.undecodedBytes() == 0;
+        connections.timers().cancel(timer);
         connections.markBusy(this);
         Throwable fault = r.decoderResult().isFailure() ? r.decoderResult().cause() : null;
         if (fault == null && r.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
@@ -350,7 +352,7 @@
     private void refuseForMemory() {
         connections.release(reservedInputBytes);
         reservedInputBytes = 0;
-        connections.timers().cancel(by);
+        connections.timers().cancel(timer);
         inputClosed = true;
         waiting.add(new Exchange(this, HttpMethod.POST, "", EmptyHttpHeaders.INSTANCE, new byte[0], connections.now(),
                 new BodyBudget.BodyBudgetExceededException(), false));
@@ -361,8 +363,7 @@
     private void sendContinueIfDue() {
         if (aggregator.isContinueExpected() && waiting.isEmpty() && !ending && !inputClosed) {
             aggregator.onContinueSent();
-            ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
-                    Unpooled.EMPTY_BUFFER));
+            replies.writeContinue();
         }
     }
 
@@ -378,7 +379,7 @@
             serving = false;
         }
         if (!waiting.isEmpty() && !waiting.peek().inProgress && !ending) {
-            awaitReading();
+            awaitClientReading();
         }
     }
 
@@ -390,7 +391,7 @@
                 break;
             }
             e.inProgress = true;
-            if (crowded || e.fault instanceof BodyBudget.BodyBudgetExceededException) {
+            if (overLimit || e.fault instanceof BodyBudget.BodyBudgetExceededException) {
                 front.refuseOverloaded(e, "too many connections");
             } else if (e.overQueueLimit) {
                 front.refuseOverloaded(e, "too many requests on one connection");
@@ -430,7 +431,7 @@
         release(e);
         // Clients that ask once and keep their connection came so fast that all room was taken by them.
         boolean last = inputClosed && waiting.isEmpty();
-        boolean close = !e.keepAlive || crowded || last || connections.isNearLimit() || leaving.getAsBoolean();
+        boolean close = !e.keepAlive || overLimit || last || connections.isNearLimit() || leaving.getAsBoolean();
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 e.method.equals(HttpMethod.HEAD) ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
@@ -441,55 +442,31 @@
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ending = true;
         }
-        ChannelFuture written = write(response, body.length);
+        ChannelFuture written = replies.write(response, body.length, this::onAllWritten);
         if (close) {
             if ((e.fault != null || inputClosed) && ctx.channel() instanceof DuplexChannel duplex) {
-                written.addListener(f -> leave(duplex));
+                written.addListener(f -> lingerAndClose(duplex));
             } else {
                 written.addListener(ChannelFutureListener.CLOSE);
             }
             return;
         }
         if (waiting.isEmpty()) {
-            awaitNext();
+            awaitNextRequest();
         }
         serveNext();
     }
 
-    /** Writes a reply. What the client does not take of it at once is memory that its connection holds. */
-    private ChannelFuture write(FullHttpResponse response, int bytes) {
-        connections.onReplyStarted();
-        unwritten++;
-        ChannelFuture written = ctx.writeAndFlush(response);
-        int reserved = 0;
-        if (!written.isDone()) {
-            connections.startHolding(this);
-            reserved = reserveForReply(bytes);
-        }
-        int held = reserved;
-        written.addListener(f -> {
-            unwritten--;
-            connections.onReplyWritten();
-            connections.release(held);
-            if (unwritten == 0 && !begun) {
-                connections.stopHolding(this);
-            }
-        });
-        return written;
-    }
-
-    private int reserveForReply(int bytes) {
-        if (connections.tryReserve(this, bytes)) {
-            return bytes;
+    private void onAllWritten() {
+        if (!requestBegun) {
+            connections.stopHolding(this);
         }
-        connections.recordViolation(RuleViolations.Rule.MEMORY_OVERDRAWN, ctx.channel().remoteAddress());
-        return 0;
     }
 
     /** Another connection needs the memory that this one holds for what its client has not done for long. */
     void giveUpMemory() {
         connections.countMemoryGivenUp();
-        if (unwritten > 0) {
+        if (replies.hasUnwritten()) {
             close(CloseReason.UNREAD);
         } else {
             refuseForMemory();
@@ -498,23 +475,23 @@
     }
 
     /** Further requests wait until the client takes its replies, but not for ever. */
-    private void awaitReading() {
-        due(ConnectionRules.MAX_UNREAD_REPLY_US, () -> close(CloseReason.UNREAD));
+    private void awaitClientReading() {
+        startTimer(ConnectionRules.MAX_UNREAD_REPLY_US, () -> close(CloseReason.UNREAD));
     }
 
     /** All that came is answered; but the next request may have begun behind it. */
-    private void awaitNext() {
-        if (clean) {
+    private void awaitNextRequest() {
+        if (allInputDecoded) {
             connections.markIdle(this);
-            due(REST_TIME, () -> {
+            startTimer(IDLE_TIMEOUT_US, () -> {
                 if (isStillAwaitingRequest()) {
                     close(CloseReason.IDLE);
                 }
             });
         } else {
-            begun = true;
+            requestBegun = true;
             connections.startHolding(this);
-            due(REQUEST_TIME, this::tooSlow);
+            startTimer(REQUEST_TIMEOUT_US, this::rejectSlowRequest);
             sendContinueIfDue();
         }
     }
@@ -533,14 +510,14 @@
     }
 
     /** Closed over input that nobody read, the connection would be reset, and the reply lost on its way. */
-    private void leave(DuplexChannel channel) {
+    private void lingerAndClose(DuplexChannel channel) {
         waiting.forEach(this::release);
         waiting.clear();
         if (channel.isOpen()) {
             channel.shutdownOutput();
             channel.config().setAutoRead(true);
             connections.markClosing(this);
-            due(LEAVE_TIME, () -> close(CloseReason.LINGERED));
+            startTimer(LINGER_TIMEOUT_US, () -> close(CloseReason.LINGERED));
         }
     }
 
@@ -554,9 +531,9 @@
         if (!c.channel().isWritable() || ending) {
             return;
         }
-        connections.timers().cancel(by);
+        connections.timers().cancel(timer);
         if (waiting.isEmpty()) {
-            awaitNext();
+            awaitNextRequest();
         }
         serveNext();
         input.resume();
--- a/coordinator/src/test/java/burlford/clients/ClientJsonTest.java
+++ b/coordinator/src/test/java/burlford/clients/ClientJsonTest.java
@@ -47,6 +47,7 @@
     @Test
     void utf8IsReadAsItIs() throws InvalidJsonException {
         byte[] body = "\uFEFF{\"a\":\"\u0150 \\ud83d\\ude95 \ud83d\ude95\"}".getBytes(StandardCharsets.UTF_8);
-        assertThat(ClientJson.parseObject(json, body).get("a").textValue()).isEqualTo("\u0150 \ud83d\ude95 \ud83d\ude95");
+        assertThat(ClientJson.parseObject(json, body).get("a").textValue())
+                .isEqualTo("\u0150 \ud83d\ude95 \ud83d\ude95");
     }
 }
--- a/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
+++ b/coordinator/src/test/java/burlford/clients/HttpConnectionTest.java
@@ -203,8 +203,8 @@
 
     /** Guards against an early answer that overtakes the answer to the request in front of it. */
     @ParameterizedTest
-    @ValueSource(strings = {"Expect: 100-continue\r\nContent-Length: 60000000", "Expect: the best\r\nContent-Length: 40",
-        "Expect: 100-continue\r\nContent-Length: 40"})
+    @ValueSource(strings = {"Expect: 100-continue\r\nContent-Length: 60000000",
+        "Expect: the best\r\nContent-Length: 40", "Expect: 100-continue\r\nContent-Length: 40"})
     void earlyAnswerWaitsForTheAnswersInFrontOfIt(String head) {
         EmbeddedChannel client = client(connections(MANY_DESCRIPTORS));
         send(client, REQUEST.replace("/api/a", "/open"));
--- a/coordinator/src/test/java/burlford/clients/RequestTargetTest.java
+++ b/coordinator/src/test/java/burlford/clients/RequestTargetTest.java
@@ -22,8 +22,8 @@
 
     /** Guards against targets that are cut, or in which what cannot be decoded is replaced. */
     @ParameterizedTest
-    @ValueSource(strings = {"/%d5", "/?q=%d5rs", "/?%d5=1", "/?q=\u00d5rs", "/?q=%ed%a0%80", "/?q=%c0%af", "/?q=%", "/%4",
-        "/?q=%zz", "/?q=%+1", "/?q=a#b", "/a#?q=b"})
+    @ValueSource(strings = {"/%d5", "/?q=%d5rs", "/?%d5=1", "/?q=\u00d5rs", "/?q=%ed%a0%80", "/?q=%c0%af", "/?q=%",
+        "/%4", "/?q=%zz", "/?q=%+1", "/?q=a#b", "/a#?q=b"})
     void whatCannotBeDecodedIsRejected(String target) {
         assertThatThrownBy(() -> RequestTarget.parse(target))
                 .isInstanceOf(RequestTarget.MalformedTargetException.class).hasMessageStartingWith("malformed URI: ");
--- a/coordinator/src/test/java/burlford/discovery/ReaderListParserTest.java
+++ b/coordinator/src/test/java/burlford/discovery/ReaderListParserTest.java
@@ -11,8 +11,8 @@
 class ReaderListParserTest {
 
     private static final int CELLS = 3;
-    private static final String LIST = "{\"revision\":1,\"complete\":true,\"members\":[{\"id\":\"%s\",\"locality\":\"%s\","
-            + "\"host_port\":\"127.0.0.1:9\",\"cell\":0,\"phase\":\"Ready\"}]}";
+    private static final String LIST = "{\"revision\":1,\"complete\":true,\"members\":[{\"id\":\"%s\","
+            + "\"locality\":\"%s\",\"host_port\":\"127.0.0.1:9\",\"cell\":0,\"phase\":\"Ready\"}]}";
 
     private static ReaderListParser.ReaderList parse(String id, String zone) throws Exception {
         return ReaderListParser.parse(new ObjectMapper().readTree(String.format(LIST, id, zone)), CELLS);
