--- a/coordinator/src/main/java/burlford/clients/ClientJson.java
+++ b/coordinator/src/main/java/burlford/clients/ClientJson.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.exc.MismatchedInputException;
 import java.util.Map;
 
 /** Reads and writes the JSON of clients. */
@@ -44,6 +45,8 @@
             return object;
         } catch (Utf8.MalformedTextException e) {
             throw new InvalidJsonException("malformed JSON: " + e.getMessage());
+        } catch (MismatchedInputException e) {
+            throw new InvalidJsonException("malformed JSON: something stands behind its object");
         } catch (JsonProcessingException e) {
             throw new InvalidJsonException("malformed JSON: " + e.getOriginalMessage());
         }
--- a/coordinator/src/main/java/burlford/clients/HttpConnection.java
+++ b/coordinator/src/main/java/burlford/clients/HttpConnection.java
@@ -6,7 +6,6 @@
 import burlford.net.ChannelReads;
 import burlford.policy.ClientPresence;
 import burlford.policy.ConnectionRules;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
--- a/coordinator/src/main/java/burlford/servers/Frame.java
+++ b/coordinator/src/main/java/burlford/servers/Frame.java
@@ -1,12 +1,11 @@
 package burlford.servers;
 
+import burlford.core.Utf8;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.MessageToMessageDecoder;
-import java.nio.ByteBuffer;
-import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
@@ -33,9 +32,8 @@
     /** The payload from an offset on as text; throws CorruptedFrameException where it is not valid UTF-8. */
     String text(int offset) {
         try {
-            return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(payload, offset, payload.length - offset))
-                    .toString();
-        } catch (CharacterCodingException e) {
+            return Utf8.decode(payload, offset);
+        } catch (Utf8.MalformedTextException e) {
             throw new CorruptedFrameException("the payload of frame " + type + " is not valid UTF-8", e);
         }
     }
--- a/coordinator/src/test/java/burlford/daemon/StoreSynchronizerTest.java
+++ b/coordinator/src/test/java/burlford/daemon/StoreSynchronizerTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import burlford.core.ReaderEntry;
-import burlford.core.Timers;
 import burlford.policy.Aggregator.ListKind;
 import burlford.policy.Aggregator.Status;
 import burlford.store.Store;
